Add design, build, kernel, model, transport and peer interface

The micro-kernel, settings, event log, metrics, HTTP server (ulfius) and single-send HTTP connection (Boost.Beast) are the base for the other libraries.

--- /dev/null
+++ b/src/laburnumkeel/transport/http_client.cpp
@@ -0,0 +1,38 @@
+#include "laburnumkeel/transport/http_client.h"
+
+#include <utility>
+
+namespace laburnumkeel::transport {
+
+HttpClient::HttpClient(std::string address, ConnectionLimits limits)
+    : address(std::move(address)), limits(limits) {}
+
+kernel::Result<HttpResponse, TransportError> HttpClient::Send(
+    const HttpRequest& request, std::chrono::milliseconds timeout) {
+  auto connection = this->Take();
+  if (!connection.has_value()) {
+    return connection.error();
+  }
+  auto response = connection.value().Exchange(request, timeout);
+  if (response.has_value() && connection.value().IsUsable()) {
+    const std::lock_guard lock(this->mutex);
+    this->idle.push_back(std::move(connection.value()));
+  }
+  return response;
+}
+
+kernel::Result<HttpConnection, TransportError> HttpClient::Take() {
+  {
+    const std::lock_guard lock(this->mutex);
+    while (!this->idle.empty()) {
+      HttpConnection connection = std::move(this->idle.back());
+      this->idle.pop_back();
+      if (connection.IsUsable()) {
+        return connection;
+      }
+    }
+  }
+  return HttpConnection::Open(this->address, this->limits);
+}
+
+}  // namespace laburnumkeel::transport
--- /dev/null
+++ b/src/laburnumkeel/transport/http_connection.h
@@ -0,0 +1,54 @@
+#ifndef LABURNUMKEEL_TRANSPORT_HTTP_CONNECTION_H_
+#define LABURNUMKEEL_TRANSPORT_HTTP_CONNECTION_H_
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "laburnumkeel/kernel/result.h"
+#include "laburnumkeel/transport/http_message.h"
+#include "laburnumkeel/transport/transport_error.h"
+
+namespace laburnumkeel::transport {
+
+// Limits of a client connection.
+struct ConnectionLimits {
+  std::chrono::milliseconds connect_timeout{1000};
+  std::size_t maximum_response_bytes = std::size_t{1024} * 1024;
+};
+
+// One persistent HTTP/1.1 client connection. It sends each request exactly
+// once: it never reconnects, retries or follows a redirect. After a failed
+// exchange it is closed for good. Not thread-safe.
+class HttpConnection {
+ public:
+  // Opens a connection to `address` (`IP:port`).
+  static kernel::Result<HttpConnection, TransportError> Open(
+      const std::string& address, const ConnectionLimits& limits);
+
+  HttpConnection(HttpConnection&&) noexcept;
+  HttpConnection& operator=(HttpConnection&&) noexcept;
+  ~HttpConnection();
+
+  // Sends the request and waits for the whole response. `timeout` counts from
+  // the call. A response above the size limit is an error after sending.
+  kernel::Result<HttpResponse, TransportError> Exchange(
+      const HttpRequest& request, std::chrono::milliseconds timeout);
+
+  // True when the connection can carry another request. Looks at the socket:
+  // a connection that the far end closed, or on which bytes arrived that
+  // nobody asked for, is not usable.
+  bool IsUsable() const;
+
+  void Close();
+
+ private:
+  struct Implementation;
+  explicit HttpConnection(std::unique_ptr<Implementation> implementation);
+
+  std::unique_ptr<Implementation> implementation;
+};
+
+}  // namespace laburnumkeel::transport
+
+#endif  // LABURNUMKEEL_TRANSPORT_HTTP_CONNECTION_H_
--- /dev/null
+++ b/tests/model/log_position_test.cpp
@@ -0,0 +1,39 @@
+#include "laburnumkeel/model/log_position.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace laburnumkeel::model {
+namespace {
+
+class LogPositionTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LogPositionTest);
+  CPPUNIT_TEST(HigherTermNeedNotContainAnEarlierPosition);
+  CPPUNIT_TEST(EveryLaterTermMustContainThePosition);
+  CPPUNIT_TEST(UnknownTermIsNotContained);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against taking a log in term 5 for one that holds (4, 120).
+  void HigherTermNeedNotContainAnEarlierPosition() {
+    const std::vector<TermStart> terms{{4, 80}, {5, 100}};
+    CPPUNIT_ASSERT(!IsContained(LogPosition{4, 120}, terms));
+    CPPUNIT_ASSERT(IsContained(LogPosition{4, 100}, terms));
+  }
+
+  // Guards against checking the first later term only.
+  void EveryLaterTermMustContainThePosition() {
+    const std::vector<TermStart> terms{{4, 80}, {5, 110}, {7, 105}};
+    CPPUNIT_ASSERT(!IsContained(LogPosition{4, 108}, terms));
+  }
+
+  // Guards against a log of an older term that passes for a newer one.
+  void UnknownTermIsNotContained() {
+    CPPUNIT_ASSERT(!IsContained(LogPosition{6, 1}, {{4, 80}, {5, 100}}));
+    CPPUNIT_ASSERT(IsContained(LogPosition{0, 0}, {}));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LogPositionTest);
+
+}  // namespace
+}  // namespace laburnumkeel::model
