--- /dev/null
+++ b/src/laburnumkeel/peer/thrift_client.h
@@ -0,0 +1,74 @@
+#ifndef LABURNUMKEEL_PEER_THRIFT_CLIENT_H_
+#define LABURNUMKEEL_PEER_THRIFT_CLIENT_H_
+
+#include <thrift/protocol/TBinaryProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TSocket.h>
+
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <type_traits>
+#include <utility>
+
+#include "laburnumkeel/kernel/result.h"
+#include "laburnumkeel/peer/peer_error.h"
+#include "laburnumkeel/peer/thrift_address.h"
+
+namespace laburnumkeel::peer {
+
+// Calls one Thrift server over a kept connection. `Generated` is a client class
+// of peer.thrift. Thread-safe; calls run one after the other.
+template <class Generated>
+class ThriftClient {
+ public:
+  ThriftClient(std::string address, std::chrono::milliseconds timeout)
+      : address(std::move(address)), timeout(timeout) {}
+
+  // Runs `call(client)`. A failed call closes the connection and is not
+  // repeated, so the server may have carried it out.
+  template <class Call>
+  auto Run(Call call)
+      -> kernel::Result<std::invoke_result_t<Call, Generated&>, PeerError> {
+    const std::lock_guard lock(this->mutex);
+    try {
+      this->Connect();
+      return call(*this->client);
+    } catch (const apache::thrift::TException& error) {
+      this->client.reset();
+      return PeerError{this->address, error.what()};
+    }
+  }
+
+  const std::string& Address() const { return this->address; }
+
+ private:
+  void Connect() {
+    if (this->client != nullptr) {
+      return;
+    }
+    const ThriftAddress target = ParseThriftAddress(this->address);
+    auto socket = std::make_shared<apache::thrift::transport::TSocket>(
+        target.ip, target.port);
+    const int milliseconds = static_cast<int>(this->timeout.count());
+    socket->setConnTimeout(milliseconds);
+    socket->setSendTimeout(milliseconds);
+    socket->setRecvTimeout(milliseconds);
+    socket->setNoDelay(true);
+    auto buffered =
+        std::make_shared<apache::thrift::transport::TBufferedTransport>(socket);
+    buffered->open();
+    this->client = std::make_unique<Generated>(
+        std::make_shared<apache::thrift::protocol::TBinaryProtocol>(buffered));
+  }
+
+  const std::string address;
+  const std::chrono::milliseconds timeout;
+  std::mutex mutex;
+  std::unique_ptr<Generated> client;
+};
+
+}  // namespace laburnumkeel::peer
+
+#endif  // LABURNUMKEEL_PEER_THRIFT_CLIENT_H_
--- /dev/null
+++ b/tests/support/free_port.h
@@ -0,0 +1,20 @@
+#ifndef LABURNUMKEEL_TESTS_SUPPORT_FREE_PORT_H_
+#define LABURNUMKEEL_TESTS_SUPPORT_FREE_PORT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <string>
+
+namespace laburnumkeel::testing {
+
+// An address of the loopback interface on which nothing listens now.
+inline std::string FreeAddress() {
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor acceptor(
+      context, {boost::asio::ip::address_v4::loopback(), 0});
+  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+}  // namespace laburnumkeel::testing
+
+#endif  // LABURNUMKEEL_TESTS_SUPPORT_FREE_PORT_H_
