--- /dev/null
+++ b/programs/laburnumkeel-entry/caller_error.h
@@ -0,0 +1,23 @@
+#ifndef LABURNUMKEEL_PROGRAMS_ENTRY_CALLER_ERROR_H_
+#define LABURNUMKEEL_PROGRAMS_ENTRY_CALLER_ERROR_H_
+
+#include <string>
+
+#include "laburnumkeel/model/outcome.h"
+
+namespace laburnumkeel::entry {
+
+// What a caller is told when a request does not succeed. `code` is stable
+// across releases, `message` is for people.
+struct CallerError {
+  int http_status = 500;
+  std::string code;
+  std::string message;
+  model::Outcome outcome = model::Outcome::kNotRun;
+
+  bool operator==(const CallerError&) const = default;
+};
+
+}  // namespace laburnumkeel::entry
+
+#endif  // LABURNUMKEEL_PROGRAMS_ENTRY_CALLER_ERROR_H_
--- /dev/null
+++ b/programs/laburnumkeel-entry/caller_response.cpp
@@ -0,0 +1,53 @@
+#include "programs/laburnumkeel-entry/caller_response.h"
+
+#include <nlohmann/json.hpp>
+
+namespace laburnumkeel::entry {
+
+namespace {
+
+using nlohmann::json;
+
+transport::HttpResponse WithSession(int status, const json& body,
+                                    const std::string& session_token) {
+  // Callers' texts may hold invalid UTF-8, which must not fail the response.
+  transport::HttpResponse response{
+      status,
+      {{"Content-Type", "application/json"}},
+      body.dump(-1, ' ', false, json::error_handler_t::replace)};
+  if (!session_token.empty()) {
+    response.headers[kSessionHeader] = session_token;
+  }
+  return response;
+}
+
+}  // namespace
+
+transport::HttpResponse ToHttpResponse(const CallerResult& result) {
+  json body = {{"outcome", "done"},
+               {"request_id", result.request_id},
+               {"served_by",
+                {{"endpoint", result.endpoint},
+                 {"role", result.role},
+                 {"term", result.position.term},
+                 {"position", result.position.position}}}};
+  const json parsed = json::parse(result.result, nullptr, false);
+  body["result"] = parsed.is_discarded() ? json(result.result) : parsed;
+  if (!result.transaction.empty()) {
+    body["transaction"] = result.transaction;
+  }
+  return WithSession(200, body, result.session_token);
+}
+
+transport::HttpResponse ToHttpResponse(const CallerError& error,
+                                       const std::string& request_id,
+                                       const std::string& session_token) {
+  const json body = {{"error",
+                      {{"code", error.code},
+                       {"message", error.message},
+                       {"outcome", model::ToString(error.outcome)}}},
+                     {"request_id", request_id}};
+  return WithSession(error.http_status, body, session_token);
+}
+
+}  // namespace laburnumkeel::entry
--- /dev/null
+++ b/tests/entry/caller_request_test.cpp
@@ -0,0 +1,60 @@
+#include "programs/laburnumkeel-entry/caller_request.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace laburnumkeel::entry {
+namespace {
+
+class CallerRequestTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CallerRequestTest);
+  CPPUNIT_TEST(ReadsAllFields);
+  CPPUNIT_TEST(RefusesWhatItDoesNotUnderstand);
+  CPPUNIT_TEST(MakesUpARequestId);
+  CPPUNIT_TEST(FindsTheBearerKey);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a field that is accepted and ignored.
+  void ReadsAllFields() {
+    const auto request = ParseCallerRequest(
+        R"({"group":"g1","statement":"GET a","request_id":"r1",)"
+        R"("max_staleness_ms":0,"repeatable":true,"idempotency_id":"i1"})");
+    CPPUNIT_ASSERT(request.has_value());
+    CPPUNIT_ASSERT(request.value() ==
+                   (CallerRequest{"g1", "GET a", "r1", 0, true, "i1"}));
+  }
+
+  // Guards against a mistyped option that silently loses its effect, such as
+  // `"idempotencyid"`, and against a body of another kind.
+  void RefusesWhatItDoesNotUnderstand() {
+    for (const char* body :
+         {"{", "[]", "7", R"({"idempotencyid":"x"})", R"({"repeatable":"yes"})",
+          R"({"max_staleness_ms":-1})", R"({"max_staleness_ms":1.5})",
+          R"({"group":1})"}) {
+      const auto request = ParseCallerRequest(body);
+      CPPUNIT_ASSERT_MESSAGE(body, !request.has_value());
+      CPPUNIT_ASSERT_EQUAL(400, request.error().http_status);
+      CPPUNIT_ASSERT(request.error().outcome == model::Outcome::kNotRun);
+    }
+  }
+
+  // Guards against responses that cannot be matched to a log line.
+  void MakesUpARequestId() {
+    const auto first = ParseCallerRequest("");
+    const auto second = ParseCallerRequest("{}");
+    CPPUNIT_ASSERT(!first.value().request_id.empty());
+    CPPUNIT_ASSERT(first.value().request_id != second.value().request_id);
+  }
+
+  // Guards against another scheme's credentials taken for a key.
+  void FindsTheBearerKey() {
+    CPPUNIT_ASSERT_EQUAL(std::string("k1.s"), BearerKey("Bearer k1.s"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), BearerKey("Basic k1.s"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), BearerKey(""));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CallerRequestTest);
+
+}  // namespace
+}  // namespace laburnumkeel::entry
--- /dev/null
+++ b/tests/entry/link.cmake
@@ -0,0 +1,1 @@
+set(extra_libraries laburnumkeel_entry_program)
