--- /dev/null
+++ b/programs/laburnumkeel-control/control_settings.h
@@ -0,0 +1,33 @@
+#ifndef LABURNUMKEEL_PROGRAMS_CONTROL_CONTROL_SETTINGS_H_
+#define LABURNUMKEEL_PROGRAMS_CONTROL_CONTROL_SETTINGS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace laburnumkeel::control {
+
+struct ControlSettings {
+  std::string vm;
+  std::string data_centre;
+  // Where peers and the programs of this VM call.
+  std::string peer_listen = "127.0.0.1:7000";
+  std::string local_listen = "127.0.0.1:7001";
+  std::string platform = "127.0.0.1:9000";
+  std::int64_t platform_timeout_ms = 1000;
+  // Part of each account's limit that stays usable in a store outage.
+  std::int64_t reserve_percent = 40;
+  std::int64_t reserve_lifetime_s = 12 * 3600;
+
+  bool operator==(const ControlSettings&) const = default;
+};
+
+// Fills `settings` from flags and environment; returns the exit code when the
+// program has to end.
+std::optional<int> ParseSettings(int argument_count,
+                                 const char* const* arguments,
+                                 ControlSettings& settings);
+
+}  // namespace laburnumkeel::control
+
+#endif  // LABURNUMKEEL_PROGRAMS_CONTROL_CONTROL_SETTINGS_H_
--- /dev/null
+++ b/programs/laburnumkeel-entry/access_gate.h
@@ -0,0 +1,140 @@
+#ifndef LABURNUMKEEL_PROGRAMS_ENTRY_ACCESS_GATE_H_
+#define LABURNUMKEEL_PROGRAMS_ENTRY_ACCESS_GATE_H_
+
+#include <algorithm>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "laburnumkeel/configuration/freshness_decision.h"
+#include "laburnumkeel/configuration/key_index.h"
+#include "laburnumkeel/kernel/clock.h"
+#include "laburnumkeel/kernel/result.h"
+#include "programs/laburnumkeel-entry/caller_error.h"
+
+namespace laburnumkeel::entry {
+
+// What the control program said about the configuration, with ages relative to
+// the sending of the request.
+struct FreshnessReport {
+  kernel::Instant sent;
+  // Empty when the control program has no proof.
+  std::optional<kernel::Duration> proof_age;
+  bool may_serve = false;
+  kernel::Duration isolated = kernel::Duration::max();
+
+  bool operator==(const FreshnessReport&) const = default;
+};
+
+// A caller whose key is valid. Keeps the configuration alive.
+struct AuthorizedCaller {
+  std::string account;
+  std::shared_ptr<const configuration::KeyIndex> index;
+};
+
+// Decides whether a request with a key may run. Thread-safe.
+template <kernel::Clock ClockType>
+class AccessGate {
+ public:
+  // Time after the sending of a report for which it counts. Reports come every
+  // 100 ms; with the 4 s of `kFreshnessLimit` a revoked key stops within 5 s.
+  static constexpr kernel::Duration kReportLifetime =
+      std::chrono::milliseconds(500);
+
+  explicit AccessGate(ClockType clock) : clock(std::move(clock)) {}
+
+  void SetConfiguration(
+      std::shared_ptr<const model::Configuration> configuration) {
+    auto built = std::make_shared<const configuration::KeyIndex>(
+        std::move(configuration));
+    const std::lock_guard lock(this->mutex);
+    this->index = std::move(built);
+  }
+
+  void SetReport(const FreshnessReport& latest) {
+    const std::lock_guard lock(this->mutex);
+    this->report = latest;
+  }
+
+  // The caller to whom the key belongs, if its account uses the service and
+  // the configuration is fresh enough. All errors are `not_run`.
+  kernel::Result<AuthorizedCaller, CallerError> Authorize(
+      const std::string& key, const std::string& service) const {
+    const std::lock_guard lock(this->mutex);
+    const model::ClientAccount* account =
+        this->index == nullptr ? nullptr : this->index->FindAccount(key);
+    if (account == nullptr) {
+      return CallerError{401, "unknown_key", "the key is missing or not valid",
+                         model::Outcome::kNotRun};
+    }
+    // An unknown service gets the same response, so that a caller cannot list
+    // the services of others.
+    if (account->service != service) {
+      return CallerError{403, "service_not_allowed",
+                         "the client account has no access to this service",
+                         model::Outcome::kNotRun};
+    }
+    if (!this->IsFresh(service)) {
+      return CallerError{
+          503, "key_state_unknown",
+          "this VM cannot tell whether the key is still valid; use another one",
+          model::Outcome::kNotRun};
+    }
+    return AuthorizedCaller{account->name, this->index};
+  }
+
+  // True while the key still belongs to the account, for requests that waited
+  // and for open transactions.
+  bool IsStillAuthorized(const std::string& key, const std::string& service,
+                         const std::string& account) const {
+    const auto caller = this->Authorize(key, service);
+    return caller.has_value() && caller.value().account == account;
+  }
+
+  bool HasConfiguration() const {
+    const std::lock_guard lock(this->mutex);
+    return this->index != nullptr;
+  }
+
+ private:
+  bool IsFresh(const std::string& service) const {
+    if (!this->report.has_value()) {
+      return false;
+    }
+    const kernel::Duration age = this->clock.Now() - this->report->sent;
+    if (this->report->proof_age.has_value() &&
+        *this->report->proof_age + age <=
+            configuration::kFreshnessLimit + kReportLifetime) {
+      return true;
+    }
+    if (this->report->may_serve && age <= kReportLifetime) {
+      return true;
+    }
+    return this->IsolatedTime(age) <= this->IsolatedLimit(service);
+  }
+
+  kernel::Duration IsolatedTime(kernel::Duration report_age) const {
+    constexpr kernel::Duration kLongest = kernel::Duration::max() / 2;
+    return std::min(this->report->isolated, kLongest) + report_age;
+  }
+
+  kernel::Duration IsolatedLimit(const std::string& service) const {
+    for (const model::Service& candidate : this->index->Source()->services) {
+      if (candidate.name == service) {
+        return std::chrono::seconds(candidate.isolated_serving_seconds);
+      }
+    }
+    return kernel::Duration(0);
+  }
+
+  const ClockType clock;
+  mutable std::mutex mutex;
+  std::shared_ptr<const configuration::KeyIndex> index;
+  std::optional<FreshnessReport> report;
+};
+
+}  // namespace laburnumkeel::entry
+
+#endif  // LABURNUMKEEL_PROGRAMS_ENTRY_ACCESS_GATE_H_
--- /dev/null
+++ b/programs/laburnumkeel-entry/control_link.cpp
@@ -0,0 +1,148 @@
+#include "programs/laburnumkeel-entry/control_link.h"
+
+#include <utility>
+
+#include "laburnumkeel/kernel/event_log.h"
+#include "laburnumkeel/kernel/random_identifier.h"
+#include "laburnumkeel/model/configuration_codec.h"
+#include "programs/laburnumkeel-entry/events.h"
+
+namespace laburnumkeel::entry {
+
+namespace {
+
+constexpr std::chrono::milliseconds kExchangeInterval{100};
+constexpr std::chrono::milliseconds kExchangeTimeout{1000};
+
+}  // namespace
+
+ControlLink::ControlLink(const std::string& address,
+                         AccessGate<kernel::BootClock>& gate,
+                         limits::AccountLimiter<kernel::BootClock>& limiter,
+                         GroupDirectory& groups,
+                         ConfigurationHandler on_configuration)
+    : incarnation(kernel::RandomIdentifier()),
+      gate(gate),
+      limiter(limiter),
+      groups(groups),
+      on_configuration(std::move(on_configuration)),
+      client(address, kExchangeTimeout),
+      task([this] {
+        this->Exchange();
+        return kExchangeInterval;
+      }) {}
+
+bool ControlLink::Start() {
+  this->task.Start();
+  return true;
+}
+
+void ControlLink::Stop() { this->task.Stop(); }
+
+void ControlLink::Exchange() {
+  const kernel::Instant sent = this->clock.Now();
+  const auto instructions = this->client.Run(
+      [report = this->MakeReport()](
+          peer::generated::LocalControlClient& control) {
+        peer::generated::EntryInstructions result;
+        control.sync(result, report);
+        return result;
+      });
+  if (!instructions.has_value()) {
+    this->LogReachable(false, instructions.error().message);
+    return;
+  }
+  this->LogReachable(true, "");
+  this->Apply(instructions.value(), sent);
+}
+
+peer::generated::EntryReport ControlLink::MakeReport() {
+  peer::generated::EntryReport report;
+  report.entry_incarnation = this->incarnation;
+  report.known_configuration_version =
+      static_cast<std::int64_t>(this->configuration.Current()->version);
+  report.applied_offer = this->applied_offer;
+  report.control_incarnation = this->control_incarnation;
+  for (const limits::AccountDemand& demand : this->limiter.Demand()) {
+    peer::generated::AccountDemand item;
+    item.account = demand.account;
+    item.demand_per_second = demand.demand;
+    report.demands.push_back(item);
+  }
+  return report;
+}
+
+void ControlLink::Apply(
+    const peer::generated::EntryInstructions& instructions,
+    kernel::Instant sent) {
+  if (!instructions.configuration.document.empty()) {
+    this->ApplyConfiguration(instructions.configuration.document);
+  }
+  FreshnessReport report;
+  report.sent = sent;
+  if (instructions.configuration.proof_age_ms >= 0) {
+    report.proof_age =
+        std::chrono::milliseconds(instructions.configuration.proof_age_ms);
+  }
+  // A proof says nothing about the version that this program holds unless it
+  // is the one that was proved.
+  const bool is_newest =
+      instructions.configuration.version ==
+      static_cast<std::int64_t>(this->configuration.Current()->version);
+  report.may_serve = is_newest && instructions.may_serve_keyed_requests;
+  if (!is_newest) {
+    report.proof_age.reset();
+  }
+  report.isolated = std::chrono::milliseconds(instructions.isolated_ms);
+  this->gate.SetReport(report);
+  this->ApplyShares(instructions, sent);
+}
+
+void ControlLink::ApplyShares(
+    const peer::generated::EntryInstructions& instructions,
+    kernel::Instant sent) {
+  std::vector<limits::Share> shares;
+  for (const peer::generated::Share& share : instructions.shares) {
+    shares.push_back(limits::Share{
+        share.account,
+        share.reserve ? limits::ShareKind::kReserve
+                      : limits::ShareKind::kDynamic,
+        limits::ShareAmount{share.rate, share.burst},
+        // From the sending: the lifetime began to run before the response.
+        sent + std::chrono::milliseconds(share.lifetime_ms)});
+  }
+  this->limiter.Apply(shares);
+  this->applied_offer = instructions.offer;
+  this->control_incarnation = instructions.control_incarnation;
+}
+
+void ControlLink::ApplyConfiguration(const std::string& document) {
+  auto decoded = model::DecodeConfiguration(document);
+  if (!decoded.has_value()) {
+    kernel::LogEvent(kConfigurationUnreadable,
+                     {{"reason", decoded.error().message}});
+    return;
+  }
+  if (!this->configuration.Offer(std::move(decoded.value()))) {
+    return;
+  }
+  const auto current = this->configuration.Current();
+  this->gate.SetConfiguration(current);
+  this->groups.Apply(*current);
+  this->on_configuration(*current);
+  kernel::LogEvent(kConfigurationApplied, {{"version", current->version}});
+}
+
+void ControlLink::LogReachable(bool is_reachable, const std::string& reason) {
+  if (this->reachable == is_reachable) {
+    return;
+  }
+  this->reachable = is_reachable;
+  if (is_reachable) {
+    kernel::LogEvent(kControlFound, {});
+  } else {
+    kernel::LogEvent(kControlLost, {{"reason", reason}});
+  }
+}
+
+}  // namespace laburnumkeel::entry
--- a/src/laburnumkeel/peer/idl/peer.thrift
+++ b/src/laburnumkeel/peer/idl/peer.thrift
@@ -21,6 +21,8 @@
   6: bool reaches_store,
   7: list<Contact> contacts,
   8: bool leaving,
+  // `IP:port` at which the VM answers its peers.
+  9: string control_address,
 }
 
 struct ConfigurationCopy {
@@ -47,6 +49,10 @@
   1: string entry_incarnation,
   2: i64 known_configuration_version,
   3: list<AccountDemand> demands,
+  // The offer of shares that the entry program uses and the control program's
+  // incarnation that made it.
+  4: i64 applied_offer,
+  5: string control_incarnation,
 }
 
 struct Share {
@@ -55,17 +61,23 @@
   3: double burst,
   // Remaining lifetime when the response was made, in milliseconds.
   4: i64 lifetime_ms,
+  // A reserve share, which stays valid through a store outage.
+  5: bool reserve,
 }
 
 struct EntryInstructions {
   // Empty document when the entry program has the newest version.
   1: ConfigurationCopy configuration,
-  // Two kinds of share may be present for an account: dynamic and reserve.
+  // The complete shares of the VM: up to one dynamic and one reserve share for
+  // an account.
   2: list<Share> shares,
   3: bool may_serve_keyed_requests,
   // Time for which the VM has been without proof, in milliseconds.
   4: i64 isolated_ms,
   5: bool draining,
+  // Number of the offer that `shares` is, from 1.
+  6: i64 offer,
+  7: string control_incarnation,
 }
 
 struct SubmitResult {
