--- /dev/null
+++ b/src/laburnumkeel/configuration/configuration_builder.h
@@ -0,0 +1,54 @@
+#ifndef LABURNUMKEEL_CONFIGURATION_CONFIGURATION_BUILDER_H_
+#define LABURNUMKEEL_CONFIGURATION_CONFIGURATION_BUILDER_H_
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "laburnumkeel/configuration/validation.h"
+#include "laburnumkeel/kernel/result.h"
+#include "laburnumkeel/model/configuration.h"
+
+namespace laburnumkeel::configuration {
+
+// Builds a configuration in an operator's own program. Groups belong to the
+// service added last, endpoints to the group added last, keys to the client
+// account added last.
+class ConfigurationBuilder {
+ public:
+  ConfigurationBuilder& FleetSize(std::int64_t entry_vms);
+  ConfigurationBuilder& AddDataCentre(const std::string& name,
+                                      const std::string& region);
+  // `isolated_serving`: how long a VM that is cut off serves requests with
+  // keys. Above 0 s the bound of 5 s for revoked keys does not hold there.
+  ConfigurationBuilder& AddService(
+      const std::string& name,
+      std::chrono::seconds isolated_serving = std::chrono::seconds(0));
+  ConfigurationBuilder& AddGroup(const std::string& name);
+  // `address` is `IP:port`; connections and slots are for the whole fleet.
+  ConfigurationBuilder& AddEndpoint(const std::string& name,
+                                    const std::string& address,
+                                    const std::string& data_centre,
+                                    std::int64_t connections,
+                                    std::int64_t slots);
+  // `rate` in requests a second and `burst` in requests, for the whole fleet.
+  ConfigurationBuilder& AddClientAccount(const std::string& name,
+                                         const std::string& service,
+                                         double rate, double burst);
+  // Stores the hash of a key `<id>.<secret>`, as made by `GenerateKey`.
+  ConfigurationBuilder& AddKey(const std::string& key_text);
+
+  // The configuration, or all its faults, misuse of the builder included.
+  kernel::Result<model::Configuration, std::vector<Fault>> Build() const;
+
+ private:
+  void AddMisuse(const std::string& call, const std::string& value,
+                 const std::string& allowed);
+
+  model::Configuration configuration;
+  std::vector<Fault> misuses;
+};
+
+}  // namespace laburnumkeel::configuration
+
+#endif  // LABURNUMKEEL_CONFIGURATION_CONFIGURATION_BUILDER_H_
--- /dev/null
+++ b/src/laburnumkeel/configuration/configuration_holder.h
@@ -0,0 +1,29 @@
+#ifndef LABURNUMKEEL_CONFIGURATION_CONFIGURATION_HOLDER_H_
+#define LABURNUMKEEL_CONFIGURATION_CONFIGURATION_HOLDER_H_
+
+#include <memory>
+#include <mutex>
+
+#include "laburnumkeel/model/configuration.h"
+
+namespace laburnumkeel::configuration {
+
+// The newest configuration that this process has seen. Thread-safe.
+class ConfigurationHolder {
+ public:
+  // Takes the configuration if its version is higher than the one held.
+  // Returns whether it was taken.
+  bool Offer(model::Configuration candidate);
+
+  // Never null; version 0 before the first `Offer`.
+  std::shared_ptr<const model::Configuration> Current() const;
+
+ private:
+  mutable std::mutex mutex;
+  std::shared_ptr<const model::Configuration> current =
+      std::make_shared<const model::Configuration>();
+};
+
+}  // namespace laburnumkeel::configuration
+
+#endif  // LABURNUMKEEL_CONFIGURATION_CONFIGURATION_HOLDER_H_
--- /dev/null
+++ b/src/laburnumkeel/configuration/validation.h
@@ -0,0 +1,31 @@
+#ifndef LABURNUMKEEL_CONFIGURATION_VALIDATION_H_
+#define LABURNUMKEEL_CONFIGURATION_VALIDATION_H_
+
+#include <string>
+#include <vector>
+
+#include "laburnumkeel/model/configuration.h"
+
+namespace laburnumkeel::configuration {
+
+// One value of a configuration that is not allowed.
+struct Fault {
+  // Path of the field, as `services[0].groups[1].name`.
+  std::string place;
+  std::string value;
+  std::string allowed;
+
+  bool operator==(const Fault&) const = default;
+};
+
+// The line `<place>: value '<value>', allowed <allowed>`.
+std::string ToString(const Fault& fault);
+
+// All faults of the configuration; empty when it may take effect. Names of
+// groups, endpoints and keys are unique over the whole configuration, because
+// table rows, status reports and presented keys carry them without the service.
+std::vector<Fault> Validate(const model::Configuration& configuration);
+
+}  // namespace laburnumkeel::configuration
+
+#endif  // LABURNUMKEEL_CONFIGURATION_VALIDATION_H_
