--- /dev/null
+++ b/programs/laburnumkeel-entry/admission.h
@@ -0,0 +1,67 @@
+#ifndef LABURNUMKEEL_PROGRAMS_ENTRY_ADMISSION_H_
+#define LABURNUMKEEL_PROGRAMS_ENTRY_ADMISSION_H_
+
+#include <memory>
+#include <string>
+
+#include "laburnumkeel/kernel/boot_clock.h"
+#include "laburnumkeel/limits/account_limiter.h"
+#include "laburnumkeel/sessions/session_token.h"
+#include "laburnumkeel/transport/http_message.h"
+#include "programs/laburnumkeel-entry/access_gate.h"
+#include "programs/laburnumkeel-entry/caller_request.h"
+#include "programs/laburnumkeel-entry/group_directory.h"
+
+namespace laburnumkeel::entry {
+
+// A request that passed authentication, limits and the session check.
+struct AdmittedRequest {
+  CallerRequest request;
+  std::string service;
+  // The caller's key, to check it again after waiting. Goes to no endpoint.
+  std::string key;
+  std::string account;
+  sessions::Session session;
+  std::shared_ptr<GroupRuntime> group;
+  kernel::Instant deadline;
+};
+
+// Checks callers' requests before they are routed.
+class Admission {
+ public:
+  Admission(const AccessGate<kernel::BootClock>& gate,
+            limits::AccountLimiter<kernel::BootClock>& limiter,
+            const GroupDirectory& groups,
+            const sessions::SessionTokenCodec& tokens,
+            kernel::Duration request_timeout);
+
+  // Checks key, body, rate, session and group, in this order. `request_id`
+  // receives the id for the response also when the request is refused.
+  kernel::Result<AdmittedRequest, CallerError> Admit(
+      const transport::HttpRequest& request, std::string& request_id) const;
+
+  // Checks key, body and rate of a request inside a transaction.
+  kernel::Result<CallerRequest, CallerError> AdmitInTransaction(
+      const transport::HttpRequest& request, const std::string& service,
+      std::string& account, std::string& request_id) const;
+
+  // Whether the caller's key is still valid; for requests that waited.
+  bool IsStillAuthorized(const AdmittedRequest& admitted) const;
+
+  kernel::Instant Deadline() const;
+
+ private:
+  kernel::Result<sessions::Session, CallerError> ReadSession(
+      const transport::HttpRequest& request, const std::string& account) const;
+
+  const AccessGate<kernel::BootClock>& gate;
+  limits::AccountLimiter<kernel::BootClock>& limiter;
+  const GroupDirectory& groups;
+  const sessions::SessionTokenCodec& tokens;
+  const kernel::Duration request_timeout;
+  const kernel::BootClock clock;
+};
+
+}  // namespace laburnumkeel::entry
+
+#endif  // LABURNUMKEEL_PROGRAMS_ENTRY_ADMISSION_H_
--- /dev/null
+++ b/programs/laburnumkeel-entry/write_path.h
@@ -0,0 +1,47 @@
+#ifndef LABURNUMKEEL_PROGRAMS_ENTRY_WRITE_PATH_H_
+#define LABURNUMKEEL_PROGRAMS_ENTRY_WRITE_PATH_H_
+
+#include "laburnumkeel/endpoints/retry_policy.h"
+#include "laburnumkeel/kernel/boot_clock.h"
+#include "laburnumkeel/kernel/metrics.h"
+#include "laburnumkeel/routing/write_confirmation.h"
+#include "laburnumkeel/routing/write_router.h"
+#include "programs/laburnumkeel-entry/admission.h"
+#include "programs/laburnumkeel-entry/statement_outcome.h"
+
+namespace laburnumkeel::entry {
+
+// Runs writes on the primary and acknowledges them only when a majority of the
+// group holds them.
+class WritePath {
+ public:
+  WritePath(const Admission& admission, kernel::Metrics& metrics);
+
+  // Retries attempts that did not run, and unknown ones of repeatable writes,
+  // until the deadline of the request.
+  StatementOutcome Execute(const AdmittedRequest& admitted) const;
+
+  // Waits until the write, or commit, is confirmed or cannot be.
+  kernel::Result<void, endpoints::EndpointError> AwaitConfirmation(
+      const GroupRuntime& group, const std::string& request_id,
+      const routing::ExecutedWrite& write) const;
+
+ private:
+  kernel::Result<ServedStatement, endpoints::EndpointError> Attempt(
+      const AdmittedRequest& admitted, int attempt) const;
+  kernel::Result<endpoints::StatementResult, endpoints::EndpointError> Send(
+      const AdmittedRequest& admitted, int attempt,
+      const routing::WriteTarget& target) const;
+  // Waits before another attempt; false when there is none.
+  bool AwaitRetry(const AdmittedRequest& admitted,
+                  const endpoints::EndpointError& error, int attempts) const;
+
+  const Admission& admission;
+  kernel::Metrics& metrics;
+  const kernel::BootClock clock;
+  const endpoints::RetryPolicy retry_policy{endpoints::RetryLimits{}};
+};
+
+}  // namespace laburnumkeel::entry
+
+#endif  // LABURNUMKEEL_PROGRAMS_ENTRY_WRITE_PATH_H_
