Add endpoint connection, pool, retry policy, admin client and monitor

Endpoint connections send each request once and report how far it got, so that not_run always means that the request was not executed. The pool opens its connections in a background thread and assigns them round-robin over the client accounts.

HttpClient and HttpConnection gain Interrupt(), because a monitor has to stop while a status call is held open by the endpoint.

--- /dev/null
+++ b/src/laburnumkeel/endpoints/endpoint_admin_client.h
@@ -0,0 +1,61 @@
+#ifndef LABURNUMKEEL_ENDPOINTS_ENDPOINT_ADMIN_CLIENT_H_
+#define LABURNUMKEEL_ENDPOINTS_ENDPOINT_ADMIN_CLIENT_H_
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "laburnumkeel/endpoints/endpoint_connection.h"
+#include "laburnumkeel/endpoints/endpoint_error.h"
+#include "laburnumkeel/kernel/result.h"
+#include "laburnumkeel/model/endpoint_status.h"
+#include "laburnumkeel/transport/http_client.h"
+
+namespace laburnumkeel::endpoints {
+
+// Status, seal, promotion and drain of one endpoint. `unknown` after a seal or
+// a promotion means that it may have taken effect; both may be repeated by the
+// same promoter. Thread-safe.
+class EndpointAdminClient {
+ public:
+  using StatusResult = kernel::Result<model::EndpointStatus, EndpointError>;
+
+  // `response_timeout` is for each call, in addition to the time that the
+  // endpoint is asked to wait.
+  EndpointAdminClient(
+      const std::string& address, const Origin& origin,
+      std::chrono::milliseconds response_timeout = std::chrono::seconds(1));
+
+  // Answers when the endpoint's log end differs from `after`, at the latest
+  // after `wait`; at once without `after`.
+  StatusResult Status(
+      const std::optional<model::LogPosition>& after = std::nullopt,
+      std::chrono::milliseconds wait = std::chrono::milliseconds(0));
+
+  // Fails with `not_accepted` when the endpoint has sealed a higher term, or
+  // this term for another promoter.
+  StatusResult Seal(model::Term term, const std::string& promoter);
+  StatusResult Promote(model::Term term, const std::string& promoter);
+
+  // The endpoint refuses new writes for `duration`.
+  StatusResult Drain(std::chrono::milliseconds duration);
+
+  // Ends calls in progress and refuses further ones, for shutdown.
+  void Interrupt();
+
+  const std::string& Address() const { return this->client.Address(); }
+
+ private:
+  StatusResult Send(const std::string& method, const std::string& target,
+                    const std::string& body, std::chrono::milliseconds timeout);
+  StatusResult SendTerm(const std::string& target, model::Term term,
+                        const std::string& promoter);
+
+  const std::string origin;
+  const std::chrono::milliseconds response_timeout;
+  transport::HttpClient client;
+};
+
+}  // namespace laburnumkeel::endpoints
+
+#endif  // LABURNUMKEEL_ENDPOINTS_ENDPOINT_ADMIN_CLIENT_H_
--- /dev/null
+++ b/src/laburnumkeel/endpoints/endpoint_monitor.h
@@ -0,0 +1,161 @@
+#ifndef LABURNUMKEEL_ENDPOINTS_ENDPOINT_MONITOR_H_
+#define LABURNUMKEEL_ENDPOINTS_ENDPOINT_MONITOR_H_
+
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "laburnumkeel/endpoints/endpoint_admin_client.h"
+#include "laburnumkeel/endpoints/events.h"
+#include "laburnumkeel/kernel/boot_clock.h"
+#include "laburnumkeel/kernel/clock.h"
+
+namespace laburnumkeel::endpoints {
+
+struct MonitorSettings {
+  // Name of the endpoint, which its status has to confirm.
+  std::string endpoint;
+  // `IP:port`.
+  std::string address;
+  Origin origin;
+  // How long the endpoint may hold a status call while its log is unchanged.
+  std::chrono::milliseconds wait{500};
+  std::chrono::milliseconds response_timeout{1000};
+  // Time between two calls while the log grows. A shorter one confirms writes
+  // sooner and costs more calls.
+  std::chrono::milliseconds minimum_interval{2};
+  std::chrono::milliseconds retry_interval{500};
+
+  bool operator==(const MonitorSettings&) const = default;
+};
+
+// Reads the status of an endpoint again and again in a thread of its own.
+template <kernel::Clock ClockType = kernel::BootClock>
+class EndpointMonitor {
+ public:
+  // `measured_at` is the time at which the status was asked for, so the state
+  // is at least as new as that.
+  using StatusHandler = std::function<void(const model::EndpointStatus& status,
+                                           kernel::Instant measured_at)>;
+  using FailureHandler = std::function<void(const EndpointError& error)>;
+
+  // Starts at once. The handlers are called in the monitor's thread.
+  EndpointMonitor(MonitorSettings settings, StatusHandler on_status,
+                  FailureHandler on_failure, ClockType clock = ClockType())
+      : settings(std::move(settings)),
+        on_status(std::move(on_status)),
+        on_failure(std::move(on_failure)),
+        clock(std::move(clock)),
+        client(this->settings.address, this->settings.origin,
+               this->settings.response_timeout),
+        poller([this] { this->Run(); }) {}
+  ~EndpointMonitor() { this->Stop(); }
+  EndpointMonitor(const EndpointMonitor&) = delete;
+  EndpointMonitor& operator=(const EndpointMonitor&) = delete;
+
+  // Ends the call in progress without waiting for the thread, so that many
+  // monitors can be stopped together.
+  void RequestStop() {
+    {
+      const std::lock_guard lock(this->mutex);
+      this->stopping = true;
+    }
+    this->stop_signal.notify_all();
+    this->client.Interrupt();
+  }
+
+  // Returns when no handler will be called any more. Takes up to the connect
+  // timeout of 1 s while a connection is being opened. Not from a handler.
+  void Stop() {
+    this->RequestStop();
+    if (this->poller.joinable()) {
+      this->poller.join();
+    }
+  }
+
+ private:
+  void Run() {
+    std::optional<model::LogPosition> last;
+    bool failing = false;
+    while (!this->IsStopping()) {
+      const kernel::Instant sent_at = this->clock.Now();
+      const auto status = this->Measure(last);
+      if (this->IsStopping()) {
+        return;
+      }
+      if (status.has_value()) {
+        this->LogRecovery(failing);
+        failing = false;
+        last = status.value().log_end;
+        this->on_status(status.value(), sent_at);
+        this->Pause(this->settings.minimum_interval);
+        continue;
+      }
+      this->LogFailure(failing, status.error());
+      failing = true;
+      // Without a position the next call is answered at once.
+      last.reset();
+      this->on_failure(status.error());
+      this->Pause(this->settings.retry_interval);
+    }
+  }
+
+  EndpointAdminClient::StatusResult Measure(
+      const std::optional<model::LogPosition>& last) {
+    auto status = this->client.Status(last, last.has_value()
+                                                ? this->settings.wait
+                                                : std::chrono::milliseconds(0));
+    if (status.has_value() &&
+        status.value().endpoint != this->settings.endpoint) {
+      return Unknown(
+          codes::kInvalidResponse,
+          "the address belongs to endpoint " + status.value().endpoint);
+    }
+    return status;
+  }
+
+  void LogFailure(bool failing, const EndpointError& error) const {
+    if (!failing) {
+      kernel::LogEvent(kStatusFailed, {{"endpoint", this->settings.endpoint},
+                                       {"code", error.code},
+                                       {"message", error.message}});
+    }
+  }
+
+  void LogRecovery(bool failing) const {
+    if (failing) {
+      kernel::LogEvent(kStatusRecovered,
+                       {{"endpoint", this->settings.endpoint}});
+    }
+  }
+
+  bool IsStopping() {
+    const std::lock_guard lock(this->mutex);
+    return this->stopping;
+  }
+
+  void Pause(std::chrono::milliseconds time) {
+    std::unique_lock lock(this->mutex);
+    this->stop_signal.wait_for(lock, time, [this] { return this->stopping; });
+  }
+
+  const MonitorSettings settings;
+  const StatusHandler on_status;
+  const FailureHandler on_failure;
+  const ClockType clock;
+  EndpointAdminClient client;
+  std::mutex mutex;
+  std::condition_variable stop_signal;
+  bool stopping = false;
+  // Last, because the thread uses the other members.
+  std::thread poller;
+};
+
+}  // namespace laburnumkeel::endpoints
+
+#endif  // LABURNUMKEEL_ENDPOINTS_ENDPOINT_MONITOR_H_
--- /dev/null
+++ b/src/laburnumkeel/endpoints/pool_settings.h
@@ -0,0 +1,46 @@
+#ifndef LABURNUMKEEL_ENDPOINTS_POOL_SETTINGS_H_
+#define LABURNUMKEEL_ENDPOINTS_POOL_SETTINGS_H_
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <string>
+
+#include "laburnumkeel/endpoints/endpoint_connection.h"
+#include "laburnumkeel/kernel/clock.h"
+#include "laburnumkeel/transport/http_connection.h"
+
+namespace laburnumkeel::endpoints {
+
+struct PoolSettings {
+  // Name of the endpoint, which its status has to confirm.
+  std::string endpoint;
+  // `IP:port`.
+  std::string address;
+  Origin origin;
+  // This VM's part of the endpoint's connections.
+  std::size_t maximum_connections = 1;
+  // A connection idle for this long answers a status call before reuse.
+  kernel::Duration probe_after = std::chrono::seconds(5);
+  std::chrono::milliseconds probe_timeout{500};
+  // An older connection is replaced, one at a time.
+  kernel::Duration maximum_age = std::chrono::minutes(5);
+  transport::ConnectionLimits connection_limits;
+
+  bool operator==(const PoolSettings& other) const {
+    return this->endpoint == other.endpoint && this->address == other.address &&
+           this->origin == other.origin &&
+           this->maximum_connections == other.maximum_connections;
+  }
+
+  // Connections that transactions may hold at once. One connection stays free
+  // for single statements, so that an account that holds transactions open for
+  // up to 10 s does not stop the other accounts.
+  std::size_t MaximumTransactions() const {
+    return std::max<std::size_t>(this->maximum_connections, 2) - 1;
+  }
+};
+
+}  // namespace laburnumkeel::endpoints
+
+#endif  // LABURNUMKEEL_ENDPOINTS_POOL_SETTINGS_H_
--- /dev/null
+++ b/src/laburnumkeel/endpoints/pool_state.h
@@ -0,0 +1,382 @@
+#ifndef LABURNUMKEEL_ENDPOINTS_POOL_STATE_H_
+#define LABURNUMKEEL_ENDPOINTS_POOL_STATE_H_
+
+#include <algorithm>
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "laburnumkeel/endpoints/acquire_request.h"
+#include "laburnumkeel/endpoints/connection_lease.h"
+#include "laburnumkeel/endpoints/endpoint_connection.h"
+#include "laburnumkeel/endpoints/events.h"
+#include "laburnumkeel/endpoints/fair_queue.h"
+#include "laburnumkeel/endpoints/pool_settings.h"
+#include "laburnumkeel/kernel/clock.h"
+#include "laburnumkeel/kernel/result.h"
+
+namespace laburnumkeel::endpoints::detail {
+
+struct PooledConnection {
+  EndpointConnection connection;
+  kernel::Instant opened_at;
+  kernel::Instant last_used;
+};
+
+// A request that waits in the thread that made it.
+struct Waiter {
+  std::condition_variable changed;
+  std::optional<PooledConnection> connection;
+  std::optional<EndpointError> refusal;
+};
+
+// What an `EndpointPool` shares with its thread and its leases.
+template <kernel::Clock ClockType>
+class PoolState {
+ public:
+  PoolState(PoolSettings settings, ClockType clock)
+      : settings(std::move(settings)), clock(std::move(clock)) {}
+
+  static kernel::Result<ConnectionLease, EndpointError> Acquire(
+      const std::shared_ptr<PoolState>& state, const AcquireRequest& request) {
+    const bool is_transaction = request.purpose == LeasePurpose::kTransaction;
+    if (is_transaction && !state->TakeTransactionSlot()) {
+      return state->Refuse(request,
+                           NotRun(codes::kNoTransactionSlot,
+                                  "too many transactions are open on this VM"));
+    }
+    auto connection = state->TakeWorking(request);
+    if (!connection.has_value()) {
+      state->ReturnTransactionSlot(is_transaction);
+      return state->Refuse(request, connection.error());
+    }
+    const kernel::Instant opened_at = connection.value().opened_at;
+    return ConnectionLease(
+        std::move(connection.value().connection),
+        [state, opened_at, is_transaction](EndpointConnection ended,
+                                           std::string_view close_reason) {
+          state->ReturnTransactionSlot(is_transaction);
+          state->GiveBack(
+              PooledConnection{std::move(ended), opened_at, opened_at},
+              close_reason);
+        });
+  }
+
+  // Opens missing connections until `Close`.
+  void KeepOpen() {
+    std::unique_lock lock(this->mutex);
+    kernel::Duration backoff = kInitialBackoff;
+    while (!this->closed) {
+      this->RetireIdle();
+      if (this->established >= this->settings.maximum_connections) {
+        this->opener_signal.wait_for(lock, kMaintenanceInterval, [this] {
+          return this->closed ||
+                 this->established < this->settings.maximum_connections;
+        });
+        continue;
+      }
+      lock.unlock();
+      auto opened = this->OpenAndProbe();
+      lock.lock();
+      if (opened.has_value()) {
+        this->AddOpened(std::move(opened.value()));
+        backoff = kInitialBackoff;
+        continue;
+      }
+      this->open_failed = true;
+      if (this->established == 0) {
+        this->RefuseAll(NotRun(codes::kConnectFailed, opened.error().message));
+      }
+      this->opener_signal.wait_for(lock, backoff,
+                                   [this] { return this->closed; });
+      backoff = std::min(backoff * 2, kMaximumBackoff);
+    }
+  }
+
+  bool IsWarm() const {
+    const std::lock_guard lock(this->mutex);
+    return this->warm && !this->closed;
+  }
+
+  const PoolSettings& Settings() const { return this->settings; }
+
+  void Close() {
+    const std::lock_guard lock(this->mutex);
+    this->closed = true;
+    this->RefuseAll(NotRun(codes::kPoolClosed, "the pool was closed"));
+    while (!this->idle.empty()) {
+      this->CloseFirstIdle("pool_closed");
+    }
+    this->opener_signal.notify_all();
+  }
+
+ private:
+  static constexpr kernel::Duration kInitialBackoff =
+      std::chrono::milliseconds(50);
+  static constexpr kernel::Duration kMaximumBackoff = std::chrono::seconds(1);
+  static constexpr kernel::Duration kMaintenanceInterval =
+      std::chrono::seconds(1);
+  // Condition variables measure time without suspended time, so a waiter looks
+  // at its own clock at least this often.
+  static constexpr kernel::Duration kDeadlineCheckInterval =
+      std::chrono::milliseconds(100);
+
+  bool TakeTransactionSlot() {
+    const std::lock_guard lock(this->mutex);
+    if (this->transactions >= this->settings.MaximumTransactions()) {
+      return false;
+    }
+    ++this->transactions;
+    return true;
+  }
+
+  void ReturnTransactionSlot(bool is_transaction) {
+    const std::lock_guard lock(this->mutex);
+    this->transactions -= is_transaction ? 1 : 0;
+  }
+
+  EndpointError Refuse(const AcquireRequest& request,
+                       const EndpointError& error) const {
+    kernel::LogEvent(kQueueRefusal, {{"endpoint", this->settings.endpoint},
+                                     {"account", request.account},
+                                     {"reason", error.code}});
+    return error;
+  }
+
+  // Takes connections until one proves usable.
+  kernel::Result<PooledConnection, EndpointError> TakeWorking(
+      const AcquireRequest& request) {
+    while (true) {
+      auto taken = this->WaitInQueue(request);
+      if (!taken.has_value()) {
+        return taken;
+      }
+      const std::string_view failure =
+          this->Check(taken.value(), request.deadline);
+      if (!failure.empty()) {
+        this->GiveBack(std::move(taken.value()), failure);
+        continue;
+      }
+      if (request.deadline <= this->clock.Now()) {
+        this->GiveBack(std::move(taken.value()), "");
+        return NotRun(codes::kQueueTimeout, "the deadline passed");
+      }
+      if (request.may_proceed && !request.may_proceed()) {
+        this->GiveBack(std::move(taken.value()), "");
+        return NotRun(codes::kAccessRevoked,
+                      "access was revoked while the request waited");
+      }
+      return taken;
+    }
+  }
+
+  kernel::Result<PooledConnection, EndpointError> WaitInQueue(
+      const AcquireRequest& request) {
+    std::unique_lock lock(this->mutex);
+    if (this->closed) {
+      return NotRun(codes::kPoolClosed, "the pool was closed");
+    }
+    if (this->open_failed && this->established == 0) {
+      return NotRun(codes::kConnectFailed, "the endpoint cannot be reached");
+    }
+    Waiter waiter;
+    const Ticket ticket = this->queue.Add(request.account, request.deadline);
+    this->waiters.emplace(ticket, &waiter);
+    this->Dispatch();
+    while (!waiter.connection.has_value() && !waiter.refusal.has_value()) {
+      const kernel::Duration left = request.deadline - this->clock.Now();
+      if (left <= kernel::Duration(0)) {
+        this->queue.Remove(request.account, ticket);
+        waiter.refusal =
+            NotRun(codes::kQueueTimeout, "no connection became free in time");
+        break;
+      }
+      waiter.changed.wait_for(lock, std::min(left, kDeadlineCheckInterval));
+    }
+    this->waiters.erase(ticket);
+    if (waiter.refusal.has_value()) {
+      return *waiter.refusal;
+    }
+    return std::move(*waiter.connection);
+  }
+
+  // Why the connection cannot be used; empty when it can.
+  std::string_view Check(PooledConnection& pooled, kernel::Instant deadline) {
+    if (!pooled.connection.IsUsable()) {
+      return "closed_by_endpoint";
+    }
+    const kernel::Instant now = this->clock.Now();
+    if (now - pooled.last_used < this->settings.probe_after) {
+      return "";
+    }
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now);
+    // `TakeWorking` refuses the request; the connection is not at fault.
+    if (left.count() <= 0) {
+      return "";
+    }
+    return this->Probe(pooled.connection,
+                       std::min(left, this->settings.probe_timeout))
+                   .has_value()
+               ? ""
+               : "probe_failed";
+  }
+
+  kernel::Result<model::EndpointStatus, EndpointError> Probe(
+      EndpointConnection& connection, std::chrono::milliseconds timeout) const {
+    auto status = connection.Probe(timeout);
+    if (status.has_value() &&
+        status.value().endpoint != this->settings.endpoint) {
+      return Unknown(
+          codes::kInvalidResponse,
+          "the address belongs to endpoint " + status.value().endpoint);
+    }
+    return status;
+  }
+
+  kernel::Result<PooledConnection, EndpointError> OpenAndProbe() const {
+    auto connection =
+        EndpointConnection::Open(this->settings.address, this->settings.origin,
+                                 this->settings.connection_limits);
+    const auto log_failure = [this](const EndpointError& error) {
+      kernel::LogEvent(kConnectionOpenFailed,
+                       {{"endpoint", this->settings.endpoint},
+                        {"address", this->settings.address},
+                        {"code", error.code},
+                        {"message", error.message}});
+      return error;
+    };
+    if (!connection.has_value()) {
+      return log_failure(connection.error());
+    }
+    const auto status =
+        this->Probe(connection.value(), this->settings.probe_timeout);
+    if (!status.has_value()) {
+      return log_failure(status.error());
+    }
+    kernel::LogEvent(kConnectionOpened, {{"endpoint", this->settings.endpoint},
+                                         {"address", this->settings.address}});
+    const kernel::Instant now = this->clock.Now();
+    return PooledConnection{std::move(connection.value()), now, now};
+  }
+
+  void GiveBack(PooledConnection pooled, std::string_view close_reason) {
+    if (close_reason.empty() && !pooled.connection.IsUsable()) {
+      close_reason = "not_usable";
+    }
+    std::unique_lock lock(this->mutex);
+    if (close_reason.empty() && this->closed) {
+      close_reason = "pool_closed";
+    }
+    if (close_reason.empty() && this->MayRetire(pooled)) {
+      close_reason = "maximum_age";
+    }
+    pooled.last_used = this->clock.Now();
+    this->idle.push_back(std::move(pooled));
+    if (!close_reason.empty()) {
+      std::rotate(this->idle.begin(), this->idle.end() - 1, this->idle.end());
+      this->CloseFirstIdle(close_reason);
+      return;
+    }
+    this->Dispatch();
+  }
+
+  // Below, the caller holds the mutex.
+
+  // Old connections are replaced one at a time, so that the pool does not run
+  // empty when all were opened together.
+  bool MayRetire(const PooledConnection& pooled) const {
+    return this->established >= this->settings.maximum_connections &&
+           this->clock.Now() - pooled.opened_at >= this->settings.maximum_age;
+  }
+
+  void RetireIdle() {
+    for (std::size_t count = this->idle.size(); count > 0; --count) {
+      const PooledConnection& first = this->idle.front();
+      if (!first.connection.IsUsable()) {
+        this->CloseFirstIdle("closed_by_endpoint");
+      } else if (this->MayRetire(first)) {
+        this->CloseFirstIdle("maximum_age");
+      } else {
+        std::rotate(this->idle.begin(), this->idle.begin() + 1,
+                    this->idle.end());
+      }
+    }
+  }
+
+  void CloseFirstIdle(std::string_view reason) {
+    // The socket is closed before its place is free, so the endpoint never sees
+    // more connections than the limit.
+    this->idle.front().connection.Close();
+    this->idle.pop_front();
+    --this->established;
+    this->warm = this->warm && this->established > 0;
+    kernel::LogEvent(kConnectionClosed, {{"endpoint", this->settings.endpoint},
+                                         {"reason", reason}});
+    this->opener_signal.notify_all();
+  }
+
+  void AddOpened(PooledConnection opened) {
+    this->open_failed = false;
+    ++this->established;
+    this->idle.push_back(std::move(opened));
+    if (this->closed) {
+      this->CloseFirstIdle("pool_closed");
+      return;
+    }
+    if (!this->warm &&
+        this->established >= this->settings.maximum_connections) {
+      this->warm = true;
+      kernel::LogEvent(kPoolWarm, {{"endpoint", this->settings.endpoint},
+                                   {"connections", this->established}});
+    }
+    this->Dispatch();
+  }
+
+  // Hands idle connections to waiting requests.
+  void Dispatch() {
+    while (!this->idle.empty()) {
+      const auto ticket = this->queue.Next(this->clock.Now());
+      if (!ticket.has_value()) {
+        return;
+      }
+      Waiter& waiter = *this->waiters.at(*ticket);
+      waiter.connection.emplace(std::move(this->idle.front()));
+      this->idle.pop_front();
+      waiter.changed.notify_one();
+    }
+  }
+
+  void RefuseAll(const EndpointError& error) {
+    for (const Ticket ticket : this->queue.TakeAll()) {
+      Waiter& waiter = *this->waiters.at(ticket);
+      waiter.refusal = error;
+      waiter.changed.notify_one();
+    }
+  }
+
+  const PoolSettings settings;
+  const ClockType clock;
+  mutable std::mutex mutex;
+  std::condition_variable opener_signal;
+  FairQueue queue;
+  std::map<Ticket, Waiter*> waiters;
+  std::deque<PooledConnection> idle;
+  // Open connections, idle and leased.
+  std::size_t established = 0;
+  // Leases for transactions, waiting ones included.
+  std::size_t transactions = 0;
+  // The last attempt to open a connection failed.
+  bool open_failed = false;
+  bool warm = false;
+  bool closed = false;
+};
+
+}  // namespace laburnumkeel::endpoints::detail
+
+#endif  // LABURNUMKEEL_ENDPOINTS_POOL_STATE_H_
--- /dev/null
+++ b/src/laburnumkeel/endpoints/retry_policy.cpp
@@ -0,0 +1,81 @@
+#include "laburnumkeel/endpoints/retry_policy.h"
+
+#include <algorithm>
+
+#include "laburnumkeel/endpoints/events.h"
+
+namespace laburnumkeel::endpoints {
+
+namespace {
+
+// Refusals that a further attempt can avoid: another endpoint, a newer term or
+// a free connection may be found.
+bool IsTransient(std::string_view code) {
+  return (IsEndpointRefusal(code) && code != codes::kBadStatement) ||
+         code == codes::kConnectFailed || code == codes::kConnectionClosed ||
+         code == codes::kPoolClosed || code == codes::kNoTransactionSlot;
+}
+
+RetryDecision Refuse(std::string_view reason) {
+  return RetryDecision{false, kernel::Duration(0), reason};
+}
+
+}  // namespace
+
+RetryDecision RetryPolicy::Decide(const FailedAttempt& attempt,
+                                  double random) const {
+  if (attempt.outcome == model::Outcome::kDone) {
+    return Refuse("done");
+  }
+  const bool unknown = attempt.outcome == model::Outcome::kUnknown;
+  if (unknown && !attempt.may_repeat) {
+    return Refuse("may_have_run");
+  }
+  if (!unknown && !IsTransient(attempt.code)) {
+    return Refuse("permanent_refusal");
+  }
+  if (attempt.attempts >= (unknown ? this->limits.maximum_unknown_attempts
+                                   : this->limits.maximum_attempts)) {
+    return Refuse("attempts_exhausted");
+  }
+  // A kept connection that the far end closed says nothing of the endpoint's
+  // load, so the first attempt on another connection need not wait.
+  const bool at_once =
+      attempt.code == codes::kConnectionClosed && attempt.attempts == 1;
+  const kernel::Duration backoff =
+      at_once ? kernel::Duration(0) : this->Backoff(attempt.attempts, random);
+  if (attempt.time_left < backoff + this->limits.minimum_attempt_time) {
+    return Refuse("deadline");
+  }
+  return RetryDecision{true, backoff, unknown ? "may_repeat" : "not_run"};
+}
+
+kernel::Duration RetryPolicy::Backoff(int attempts, double random) const {
+  kernel::Duration backoff = this->limits.initial_backoff;
+  for (int step = 1; step < attempts && backoff < this->limits.maximum_backoff;
+       ++step) {
+    backoff *= 2;
+  }
+  backoff = std::min(backoff, this->limits.maximum_backoff);
+  const double jitter = static_cast<double>(backoff.count()) * random / 2;
+  return backoff / 2 +
+         kernel::Duration(static_cast<kernel::Duration::rep>(jitter));
+}
+
+void LogRetryDecision(const std::string& request_id,
+                      const FailedAttempt& attempt,
+                      const RetryDecision& decision) {
+  kernel::LogEvent(
+      kRetryDecided,
+      {{"request_id", request_id},
+       {"outcome", ToString(attempt.outcome)},
+       {"code", attempt.code},
+       {"attempts", attempt.attempts},
+       {"retry", decision.retry},
+       {"backoff_ms",
+        std::chrono::duration_cast<std::chrono::milliseconds>(decision.backoff)
+            .count()},
+       {"reason", decision.reason}});
+}
+
+}  // namespace laburnumkeel::endpoints
--- a/src/laburnumkeel/transport/http_client.cpp
+++ b/src/laburnumkeel/transport/http_client.cpp
@@ -13,14 +13,30 @@
   if (!connection.has_value()) {
     return connection.error();
   }
+  {
+    const std::lock_guard lock(this->mutex);
+    if (this->interrupted) {
+      return TransportError{FailureStage::kNotSent, "the client is closed"};
+    }
+    this->active.insert(&connection.value());
+  }
   auto response = connection.value().Exchange(request, timeout);
+  const std::lock_guard lock(this->mutex);
+  this->active.erase(&connection.value());
   if (response.has_value() && connection.value().IsUsable()) {
-    const std::lock_guard lock(this->mutex);
     this->idle.push_back(std::move(connection.value()));
   }
   return response;
 }
 
+void HttpClient::Interrupt() {
+  const std::lock_guard lock(this->mutex);
+  this->interrupted = true;
+  for (HttpConnection* connection : this->active) {
+    connection->Interrupt();
+  }
+}
+
 kernel::Result<HttpConnection, TransportError> HttpClient::Take() {
   {
     const std::lock_guard lock(this->mutex);
--- a/src/laburnumkeel/transport/http_client.h
+++ b/src/laburnumkeel/transport/http_client.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,10 @@
   kernel::Result<HttpResponse, TransportError> Send(
       const HttpRequest& request, std::chrono::milliseconds timeout);
 
+  // Ends all exchanges in progress and refuses further ones, for shutdown. An
+  // attempt to connect runs on to its limit.
+  void Interrupt();
+
   const std::string& Address() const { return this->address; }
 
  private:
@@ -31,6 +36,8 @@
   const ConnectionLimits limits;
   std::mutex mutex;
   std::vector<HttpConnection> idle;
+  std::set<HttpConnection*> active;
+  bool interrupted = false;
 };
 
 }  // namespace laburnumkeel::transport
--- a/src/laburnumkeel/transport/http_connection.cpp
+++ b/src/laburnumkeel/transport/http_connection.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <utility>
@@ -163,4 +164,9 @@
   }
 }
 
+void HttpConnection::Interrupt() {
+  asio::post(this->implementation->context,
+             [state = this->implementation.get()] { state->Close(); });
+}
+
 }  // namespace laburnumkeel::transport
--- a/src/laburnumkeel/transport/http_connection.h
+++ b/src/laburnumkeel/transport/http_connection.h
@@ -42,6 +42,10 @@
 
   void Close();
 
+  // Ends an exchange that another thread is in; it fails and the connection is
+  // closed. The only call that another thread may make.
+  void Interrupt();
+
  private:
   struct Implementation;
   explicit HttpConnection(std::unique_ptr<Implementation> implementation);
--- /dev/null
+++ b/tests/endpoints/endpoint_pool_test.cpp
@@ -0,0 +1,255 @@
+#include "laburnumkeel/endpoints/endpoint_pool.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <future>
+#include <thread>
+#include <vector>
+
+#include "tests/support/manual_clock.h"
+#include "tests/support/scripted_server.h"
+#include "tests/support/wait_until.h"
+
+namespace laburnumkeel::endpoints {
+namespace {
+
+using testing::ManualClock;
+using testing::Reply;
+using testing::ScriptedServer;
+using testing::WaitUntil;
+
+constexpr std::chrono::milliseconds kTimeout{2000};
+
+class EndpointPoolTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EndpointPoolTest);
+  CPPUNIT_TEST(OpensAllConnectionsInAdvanceAndNoMore);
+  CPPUNIT_TEST(RefusesAtTheDeadline);
+  CPPUNIT_TEST(RefusesAtOnceWithoutEndpoint);
+  CPPUNIT_TEST(NeverHandsOutAClosedConnection);
+  CPPUNIT_TEST(ProbesAnIdleConnection);
+  CPPUNIT_TEST(ReplacesAnOldConnection);
+  CPPUNIT_TEST(ChecksAccessWhenARequestLeavesTheQueue);
+  CPPUNIT_TEST(KeepsAConnectionFreeOfTransactions);
+  CPPUNIT_TEST(RefusesTheAddressOfAnotherEndpoint);
+  CPPUNIT_TEST(CloseRefusesWaitingRequests);
+  CPPUNIT_TEST(AFloodingAccountDelaysAnotherByOneRequest);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against more connections than this VM's part, and against a VM that
+  // reports ready before its connections are open.
+  void OpensAllConnectionsInAdvanceAndNoMore() {
+    Pool pool(this->Settings(3), this->clock);
+    CPPUNIT_ASSERT(WaitUntil([&] { return pool.IsWarm(); }));
+    std::vector<std::thread> threads;
+    for (int thread = 0; thread < 8; ++thread) {
+      threads.emplace_back([&] {
+        for (int round = 0; round < 20; ++round) {
+          auto lease = pool.Acquire(this->Request("a"));
+          CPPUNIT_ASSERT(lease.has_value());
+          if (round % 5 == 0) {
+            lease.value().Discard("test");
+          }
+        }
+      });
+    }
+    for (std::thread& thread : threads) {
+      thread.join();
+    }
+    CPPUNIT_ASSERT(this->server.MaximumOpenConnections() <= 3);
+  }
+
+  // Guards against requests that wait longer than their caller does, and
+  // against counting a request that never left the queue as `unknown`.
+  void RefusesAtTheDeadline() {
+    Pool pool(this->Settings(1), this->clock);
+    auto held = pool.Acquire(this->Request("a"));
+    CPPUNIT_ASSERT(held.has_value());
+    auto waiting = std::async(std::launch::async, [&] {
+      return this->ErrorOf(pool.Acquire(this->Request("b")));
+    });
+    CPPUNIT_ASSERT(waiting.wait_for(std::chrono::milliseconds(50)) ==
+                   std::future_status::timeout);
+    this->clock.Advance(kTimeout);
+    const EndpointError error = waiting.get();
+    CPPUNIT_ASSERT(error.outcome == model::Outcome::kNotRun);
+    CPPUNIT_ASSERT_EQUAL(std::string(codes::kQueueTimeout), error.code);
+  }
+
+  // Guards against requests that wait for an endpoint that is down instead of
+  // going to another replica.
+  void RefusesAtOnceWithoutEndpoint() {
+    this->server.StopListening();
+    Pool pool(this->Settings(1), this->clock);
+    const EndpointError error = this->ErrorOf(pool.Acquire(this->Request("a")));
+    CPPUNIT_ASSERT_EQUAL(std::string(codes::kConnectFailed), error.code);
+    CPPUNIT_ASSERT(error.outcome == model::Outcome::kNotRun);
+    CPPUNIT_ASSERT(!pool.IsWarm());
+  }
+
+  // Guards against a request sent on a kept connection that the far end closed.
+  void NeverHandsOutAClosedConnection() {
+    Pool pool(this->Settings(2), this->clock);
+    CPPUNIT_ASSERT(WaitUntil([&] { return pool.IsWarm(); }));
+    this->server.CloseConnections();
+    auto lease = pool.Acquire(this->Request("a"));
+    CPPUNIT_ASSERT(lease.has_value());
+    CPPUNIT_ASSERT(lease.value()
+                       .Connection()
+                       .Execute(StatementRequest{"r1", StatementKind::kRead,
+                                                 "GET k", "a", std::nullopt, 3},
+                                kTimeout)
+                       .has_value());
+  }
+
+  // Guards against a request sent into a path that went silent while the
+  // connection was idle.
+  void ProbesAnIdleConnection() {
+    Pool pool(this->Settings(1), this->clock);
+    CPPUNIT_ASSERT(WaitUntil([&] { return pool.IsWarm(); }));
+    const std::size_t before = this->server.StatusCalls();
+    { const auto lease = pool.Acquire(this->Request("a")); }
+    CPPUNIT_ASSERT_EQUAL(before, this->server.StatusCalls());
+    this->clock.Advance(std::chrono::seconds(6));
+    { const auto lease = pool.Acquire(this->Request("a")); }
+    CPPUNIT_ASSERT_EQUAL(before + 1, this->server.StatusCalls());
+    this->clock.Advance(std::chrono::seconds(6));
+    this->server.SetStatusReply(Reply::kSilent);
+    const EndpointError error = this->ErrorOf(pool.Acquire(this->Request("a")));
+    CPPUNIT_ASSERT(error.outcome == model::Outcome::kNotRun);
+    CPPUNIT_ASSERT(this->server.Received().empty());
+  }
+
+  // Guards against connections that live on through changes of the path.
+  void ReplacesAnOldConnection() {
+    Pool pool(this->Settings(1), this->clock);
+    CPPUNIT_ASSERT(WaitUntil([&] { return pool.IsWarm(); }));
+    {
+      const auto lease = pool.Acquire(this->Request("a"));
+      this->clock.Advance(std::chrono::minutes(6));
+    }
+    CPPUNIT_ASSERT(WaitUntil([&] { return this->server.StatusCalls() == 2; }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->server.MaximumOpenConnections());
+  }
+
+  // Guards against a queued request that runs after its key was revoked.
+  void ChecksAccessWhenARequestLeavesTheQueue() {
+    Pool pool(this->Settings(1), this->clock);
+    std::atomic<bool> revoked = false;
+    std::optional<ConnectionLease> held =
+        std::move(pool.Acquire(this->Request("a")).value());
+    AcquireRequest request = this->Request("b");
+    request.may_proceed = [&] { return !revoked; };
+    auto waiting = std::async(std::launch::async, [&] {
+      return this->ErrorOf(pool.Acquire(request));
+    });
+    CPPUNIT_ASSERT(waiting.wait_for(std::chrono::milliseconds(50)) ==
+                   std::future_status::timeout);
+    revoked = true;
+    held.reset();
+    const EndpointError error = waiting.get();
+    CPPUNIT_ASSERT_EQUAL(std::string(codes::kAccessRevoked), error.code);
+    CPPUNIT_ASSERT(error.outcome == model::Outcome::kNotRun);
+    CPPUNIT_ASSERT(pool.Acquire(this->Request("a")).has_value());
+  }
+
+  // Guards against an account that stops all others by holding transactions.
+  void KeepsAConnectionFreeOfTransactions() {
+    Pool pool(this->Settings(2), this->clock);
+    AcquireRequest request = this->Request("a");
+    request.purpose = LeasePurpose::kTransaction;
+    std::optional<ConnectionLease> first =
+        std::move(pool.Acquire(request).value());
+    CPPUNIT_ASSERT_EQUAL(std::string(codes::kNoTransactionSlot),
+                         this->ErrorOf(pool.Acquire(request)).code);
+    CPPUNIT_ASSERT(pool.Acquire(this->Request("b")).has_value());
+    first.reset();
+    CPPUNIT_ASSERT(pool.Acquire(request).has_value());
+  }
+
+  // Guards against statements sent to a database that took over the address.
+  void RefusesTheAddressOfAnotherEndpoint() {
+    PoolSettings settings = this->Settings(1);
+    settings.endpoint = "endpoint-2";
+    Pool pool(settings, this->clock);
+    CPPUNIT_ASSERT_EQUAL(std::string(codes::kConnectFailed),
+                         this->ErrorOf(pool.Acquire(this->Request("a"))).code);
+  }
+
+  // Guards against a shutdown that leaves requests waiting.
+  void CloseRefusesWaitingRequests() {
+    Pool pool(this->Settings(1), this->clock);
+    auto held = pool.Acquire(this->Request("a"));
+    auto waiting = std::async(std::launch::async, [&] {
+      return this->ErrorOf(pool.Acquire(this->Request("b")));
+    });
+    CPPUNIT_ASSERT(waiting.wait_for(std::chrono::milliseconds(50)) ==
+                   std::future_status::timeout);
+    pool.Close();
+    CPPUNIT_ASSERT_EQUAL(std::string(codes::kPoolClosed), waiting.get().code);
+    held.value().Discard("test");
+    CPPUNIT_ASSERT(
+        WaitUntil([&] { return this->server.OpenConnections() == 0; }));
+  }
+
+  // Guards against a first-in-first-out queue, in which a request waits behind
+  // all requests of an account that floods.
+  void AFloodingAccountDelaysAnotherByOneRequest() {
+    Pool pool(this->Settings(1), this->clock);
+    std::optional<ConnectionLease> held =
+        std::move(pool.Acquire(this->Request("flood")).value());
+    std::atomic<int> served_of_flood = 0;
+    std::vector<std::thread> flood;
+    for (int thread = 0; thread < 20; ++thread) {
+      flood.emplace_back([&] {
+        const auto lease = pool.Acquire(this->Request("flood"));
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        ++served_of_flood;
+      });
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    int served_before_other = -1;
+    std::thread other([&] {
+      const auto lease = pool.Acquire(this->Request("other"));
+      served_before_other = served_of_flood;
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    held.reset();
+    other.join();
+    for (std::thread& thread : flood) {
+      thread.join();
+    }
+    CPPUNIT_ASSERT(served_before_other >= 0 && served_before_other <= 1);
+  }
+
+ private:
+  using Pool = EndpointPool<ManualClock>;
+
+  PoolSettings Settings(std::size_t connections) const {
+    PoolSettings settings;
+    settings.endpoint = "endpoint-1";
+    settings.address = this->server.Address();
+    settings.origin = Origin{"vm-1", "dc-1"};
+    settings.maximum_connections = connections;
+    return settings;
+  }
+
+  AcquireRequest Request(const std::string& account) const {
+    return AcquireRequest{account, this->clock.Now() + kTimeout, {}};
+  }
+
+  EndpointError ErrorOf(
+      const kernel::Result<ConnectionLease, EndpointError>& result) const {
+    CPPUNIT_ASSERT(!result.has_value());
+    return result.error();
+  }
+
+  ManualClock clock;
+  ScriptedServer server;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EndpointPoolTest);
+
+}  // namespace
+}  // namespace laburnumkeel::endpoints
--- /dev/null
+++ b/tests/endpoints/link.cmake
@@ -0,0 +1,5 @@
+if(NOT TARGET scripted_server)
+  add_library(scripted_server STATIC ${CMAKE_SOURCE_DIR}/tests/support/scripted_server.cpp)
+  target_link_libraries(scripted_server PUBLIC laburnumkeel_model)
+endif()
+set(extra_libraries scripted_server)
