--- /dev/null
+++ b/programs/laburnumkeel-control/fleet_state.cpp
@@ -0,0 +1,178 @@
+#include "programs/laburnumkeel-control/fleet_state.h"
+
+#include <random>
+#include <utility>
+
+#include "laburnumkeel/kernel/event_log.h"
+#include "laburnumkeel/kernel/random_identifier.h"
+#include "programs/laburnumkeel-control/events.h"
+
+namespace laburnumkeel::control {
+
+namespace {
+
+std::int64_t ToMilliseconds(kernel::Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+}  // namespace
+
+FleetState::FleetState(const ControlSettings& settings)
+    : settings(settings),
+      incarnation(kernel::RandomIdentifier()),
+      freshness(this->clock, settings.data_centre),
+      sync(this->clock, settings.vm, settings.data_centre,
+           std::random_device{}()),
+      directory(this->clock,
+                membership::VmRecord{settings.vm, settings.data_centre,
+                                     settings.peer_listen, "", false}) {}
+
+peer::generated::PeerState FleetState::OwnState() const {
+  peer::generated::PeerState state;
+  state.vm = this->settings.vm;
+  state.incarnation = this->incarnation;
+  state.data_centre = this->settings.data_centre;
+  state.control_address = this->settings.peer_listen;
+  state.leaving = this->leaving;
+  // The proof is read before the version. In the other order a proof of a
+  // newer version could be told with the older one, as if that were newest.
+  const auto proof_age = this->freshness.ProofAge();
+  state.configuration_version =
+      static_cast<std::int64_t>(this->Configuration()->version);
+  state.proof_age_ms = proof_age.has_value() ? ToMilliseconds(*proof_age) : -1;
+  state.reaches_store = this->freshness.ReachesStore();
+  for (const configuration::DataCentreContact& contact :
+       this->freshness.Contacts()) {
+    peer::generated::Contact item;
+    item.data_centre = contact.data_centre;
+    item.age_ms = ToMilliseconds(contact.age);
+    item.reaches_store = contact.reaches_store;
+    state.contacts.push_back(item);
+  }
+  return state;
+}
+
+void FleetState::OnPeerAnswer(const peer::generated::PeerState& answer,
+                              kernel::Instant sent) {
+  const auto version = static_cast<std::uint64_t>(answer.configuration_version);
+  configuration::PeerEvidence evidence;
+  evidence.data_centre = answer.data_centre;
+  evidence.version = version;
+  if (answer.proof_age_ms >= 0) {
+    evidence.proof_age = std::chrono::milliseconds(answer.proof_age_ms);
+  }
+  for (const peer::generated::Contact& contact : answer.contacts) {
+    evidence.contacts.push_back(configuration::DataCentreContact{
+        contact.data_centre, std::chrono::milliseconds(contact.age_ms),
+        contact.reaches_store});
+  }
+  this->freshness.PeerAnswered(sent, evidence);
+  this->sync.VersionAnnounced(version, answer.control_address,
+                              this->Configuration()->version);
+  const std::lock_guard lock(this->mutex);
+  this->directory.OnAnswer(membership::PeerAnswer{answer.vm,
+                                                  answer.data_centre,
+                                                  answer.control_address,
+                                                  answer.leaving,
+                                                  answer.reaches_store,
+                                                  {}},
+                           sent);
+  this->startup.PeerAnswered(answer.vm, version);
+  this->peers[answer.vm] = PeerEntry{answer, sent};
+}
+
+void FleetState::OnPeerCall(std::int64_t version, const std::string& address) {
+  this->freshness.VersionAnnounced(static_cast<std::uint64_t>(version));
+  this->sync.VersionAnnounced(static_cast<std::uint64_t>(version), address,
+                              this->Configuration()->version);
+}
+
+void FleetState::OnStoreRead(model::Configuration configuration,
+                             kernel::Instant sent) {
+  const std::uint64_t version = configuration.version;
+  this->Adopt(std::move(configuration), "store");
+  this->freshness.StoreAnswered(sent, version);
+  const std::lock_guard lock(this->mutex);
+  this->startup.StoreAnswered(version);
+}
+
+bool FleetState::Adopt(model::Configuration configuration,
+                       const std::string& source) {
+  const std::uint64_t version = configuration.version;
+  if (!this->holder.Offer(std::move(configuration))) {
+    return false;
+  }
+  this->freshness.ConfigurationHeld(*this->holder.Current());
+  kernel::LogEvent(kConfigurationAdopted,
+                   {{"version", version}, {"source", source}});
+  return true;
+}
+
+void FleetState::SetListedVms(std::vector<membership::VmRecord> vms) {
+  const std::lock_guard lock(this->mutex);
+  this->listed_names.clear();
+  for (const membership::VmRecord& vm : vms) {
+    this->listed_names.push_back(vm.name);
+  }
+  this->directory.SetListed(std::move(vms));
+}
+
+void FleetState::SetLeaving() {
+  this->leaving = true;
+  const std::lock_guard lock(this->mutex);
+  this->directory.SetDeparting(true);
+}
+
+std::vector<membership::VmRecord> FleetState::Peers() const {
+  const std::lock_guard lock(this->mutex);
+  return this->directory.Callable();
+}
+
+std::vector<membership::VmRecord> FleetState::LiveVms() const {
+  const std::lock_guard lock(this->mutex);
+  return this->directory.Live();
+}
+
+bool FleetState::IsReady() {
+  const std::lock_guard lock(this->mutex);
+  if (!this->ready && this->startup.IsReady(this->listed_names,
+                                            this->Configuration()->version)) {
+    this->ready = true;
+    kernel::LogEvent(kReady, {{"version", this->Configuration()->version}});
+  }
+  return this->ready;
+}
+
+bool FleetState::IsPollDue() {
+  std::vector<std::string> others;
+  for (const membership::VmRecord& vm : this->LiveVms()) {
+    if (vm.data_centre == this->settings.data_centre &&
+        vm.name != this->settings.vm && !vm.departing) {
+      others.push_back(vm.name);
+    }
+  }
+  return this->sync.IsPollDue(others);
+}
+
+std::vector<peer::generated::VmStatus> FleetState::FleetStatus() const {
+  std::vector<peer::generated::VmStatus> result;
+  const auto add = [&](const peer::generated::PeerState& state,
+                       std::int64_t age_ms) {
+    peer::generated::VmStatus status;
+    status.vm = state.vm;
+    status.data_centre = state.data_centre;
+    status.age_ms = age_ms;
+    status.configuration_version = state.configuration_version;
+    status.reaches_store = state.reaches_store;
+    result.push_back(status);
+  };
+  add(this->OwnState(), 0);
+  const std::lock_guard lock(this->mutex);
+  for (const auto& [vm, entry] : this->peers) {
+    add(entry.state, ToMilliseconds(this->clock.Now() - entry.sent));
+  }
+  return result;
+}
+
+}  // namespace laburnumkeel::control
--- /dev/null
+++ b/programs/laburnumkeel-control/local_control_handler.cpp
@@ -0,0 +1,68 @@
+#include "programs/laburnumkeel-control/local_control_handler.h"
+
+#include <algorithm>
+
+#include "laburnumkeel/model/configuration_codec.h"
+
+namespace laburnumkeel::control {
+
+namespace {
+
+// Longer than any setting of `isolated_serving_seconds`.
+constexpr kernel::Duration kLongestIsolation = std::chrono::hours(1000);
+
+std::int64_t ToMilliseconds(kernel::Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+}  // namespace
+
+LocalControlHandler::LocalControlHandler(FleetState& state,
+                                         ConfigurationService& configuration,
+                                         ShareMailbox& mailbox)
+    : state(state), configuration(configuration), mailbox(mailbox) {}
+
+void LocalControlHandler::sync(peer::generated::EntryInstructions& result,
+                               const peer::generated::EntryReport& report) {
+  // The decision is read before the configuration, for the same reason as in
+  // `FleetState::OwnState`.
+  const configuration::FreshnessDecision decision = this->state.Freshness();
+  const auto current = this->state.Configuration();
+  const bool is_ready = this->state.IsReady();
+  result.configuration.version = static_cast<std::int64_t>(current->version);
+  result.configuration.proof_age_ms = is_ready && decision.proof_age.has_value()
+                                          ? ToMilliseconds(*decision.proof_age)
+                                          : -1;
+  result.may_serve_keyed_requests = is_ready && decision.fresh;
+  result.isolated_ms =
+      ToMilliseconds(std::min(decision.isolated, kLongestIsolation));
+  if (is_ready &&
+      report.known_configuration_version < result.configuration.version) {
+    result.configuration.document = model::Encode(*current);
+  }
+  this->mailbox.Exchange(report, result);
+}
+
+void LocalControlHandler::submitConfiguration(
+    peer::generated::SubmitResult& result, const std::string& document,
+    std::int64_t base_version, const std::string& operation_id) {
+  result = this->configuration.Submit(
+      document, static_cast<std::uint64_t>(base_version), operation_id);
+}
+
+void LocalControlHandler::currentConfiguration(
+    peer::generated::ConfigurationCopy& result) {
+  const auto proof_age = this->state.Freshness().proof_age;
+  const auto current = this->state.Configuration();
+  result.version = static_cast<std::int64_t>(current->version);
+  result.proof_age_ms = proof_age.has_value() ? ToMilliseconds(*proof_age) : -1;
+  result.document = model::Encode(*current);
+}
+
+void LocalControlHandler::fleetStatus(
+    std::vector<peer::generated::VmStatus>& result) {
+  result = this->state.FleetStatus();
+}
+
+}  // namespace laburnumkeel::control
--- a/programs/laburnumkeel-control/share_mailbox.cpp
+++ b/programs/laburnumkeel-control/share_mailbox.cpp
@@ -21,7 +21,7 @@
     return true;
   }
   return this->confirmed.wait_for(lock, kConfirmationTime, [this] {
-    return this->applied_offer == this->offer;
+    return this->delivered_offer == 0 || this->applied_offer == this->offer;
   });
 }
 
@@ -35,6 +35,11 @@
     this->demand.push_back(
         limits::AccountDemand{item.account, item.demand_per_second});
   }
+  if (report.ended) {
+    this->delivered_offer = 0;
+    this->confirmed.notify_all();
+    return;
+  }
   if (report.control_incarnation == this->incarnation) {
     this->applied_offer = report.applied_offer;
   }
@@ -42,9 +47,8 @@
   instructions.offer = this->offer;
   instructions.control_incarnation = this->incarnation;
   for (const limits::Share& share : this->shares) {
-    const auto lifetime =
-        std::chrono::duration_cast<std::chrono::milliseconds>(share.expiry -
-                                                              now);
+    const auto lifetime = std::chrono::duration_cast<std::chrono::milliseconds>(
+        share.expiry - now);
     if (lifetime.count() <= 0) {
       continue;
     }
--- a/programs/laburnumkeel-entry/access_gate.h
+++ b/programs/laburnumkeel-entry/access_gate.h
@@ -28,10 +28,13 @@
   bool operator==(const FreshnessReport&) const = default;
 };
 
-// A caller whose key is valid. Keeps the configuration alive.
+// A caller whose key is valid.
 struct AuthorizedCaller {
   std::string account;
-  std::shared_ptr<const configuration::KeyIndex> index;
+  // The service that the account uses.
+  std::string service;
+
+  bool operator==(const AuthorizedCaller&) const = default;
 };
 
 // Decides whether a request with a key may run. Thread-safe.
@@ -58,10 +61,10 @@
     this->report = latest;
   }
 
-  // The caller to whom the key belongs, if its account uses the service and
-  // the configuration is fresh enough. All errors are `not_run`.
+  // The caller to whom the key belongs, if the configuration is fresh enough.
+  // All errors are `not_run`.
   kernel::Result<AuthorizedCaller, CallerError> Authorize(
-      const std::string& key, const std::string& service) const {
+      const std::string& key) const {
     const std::lock_guard lock(this->mutex);
     const model::ClientAccount* account =
         this->index == nullptr ? nullptr : this->index->FindAccount(key);
@@ -69,20 +72,26 @@
       return CallerError{401, "unknown_key", "the key is missing or not valid",
                          model::Outcome::kNotRun};
     }
-    // An unknown service gets the same response, so that a caller cannot list
-    // the services of others.
-    if (account->service != service) {
-      return CallerError{403, "service_not_allowed",
-                         "the client account has no access to this service",
-                         model::Outcome::kNotRun};
-    }
-    if (!this->IsFresh(service)) {
+    if (!this->IsFresh(account->service)) {
       return CallerError{
           503, "key_state_unknown",
           "this VM cannot tell whether the key is still valid; use another one",
           model::Outcome::kNotRun};
     }
-    return AuthorizedCaller{account->name, this->index};
+    return AuthorizedCaller{account->name, account->service};
+  }
+
+  // As above, and the account has to use the service. An unknown service gets
+  // the same response, so that a caller cannot list the services of others.
+  kernel::Result<AuthorizedCaller, CallerError> Authorize(
+      const std::string& key, const std::string& service) const {
+    auto caller = this->Authorize(key);
+    if (caller.has_value() && caller.value().service != service) {
+      return CallerError{403, "service_not_allowed",
+                         "the client account has no access to this service",
+                         model::Outcome::kNotRun};
+    }
+    return caller;
   }
 
   // True while the key still belongs to the account, for requests that waited
--- a/programs/laburnumkeel-entry/admission.cpp
+++ b/programs/laburnumkeel-entry/admission.cpp
@@ -39,20 +39,45 @@
       tokens(tokens),
       request_timeout(request_timeout) {}
 
-kernel::Instant Admission::Deadline() const {
-  return this->clock.Now() + this->request_timeout;
+kernel::Result<AdmittedRequest, CallerError> Admission::Admit(
+    const transport::HttpRequest& request, std::string& request_id) const {
+  const std::string service = request.Parameter("service");
+  auto admitted = this->AdmitCaller(
+      request,
+      this->gate.Authorize(BearerKey(request.Header("Authorization")), service),
+      request_id);
+  if (!admitted.has_value()) {
+    return admitted;
+  }
+  AdmittedRequest& value = admitted.value();
+  value.group = this->groups.Find(service, value.request.group);
+  if (value.group == nullptr) {
+    return Refuse(
+        request_id, value.account,
+        CallerError{404, "unknown_group",
+                    "the service has no group '" + value.request.group + "'",
+                    model::Outcome::kNotRun});
+  }
+  return admitted;
 }
 
-kernel::Result<CallerRequest, CallerError> Admission::AdmitInTransaction(
-    const transport::HttpRequest& request, const std::string& service,
-    std::string& account, std::string& request_id) const {
-  const auto caller =
-      this->gate.Authorize(BearerKey(request.Header("Authorization")), service);
+kernel::Result<AdmittedRequest, CallerError> Admission::AdmitInTransaction(
+    const transport::HttpRequest& request, std::string& request_id) const {
+  return this->AdmitCaller(
+      request, this->gate.Authorize(BearerKey(request.Header("Authorization"))),
+      request_id);
+}
+
+kernel::Result<AdmittedRequest, CallerError> Admission::AdmitCaller(
+    const transport::HttpRequest& request,
+    const kernel::Result<AuthorizedCaller, CallerError>& caller,
+    std::string& request_id) const {
+  const kernel::Instant deadline = this->clock.Now() + this->request_timeout;
   if (!caller.has_value()) {
     return Refuse(request_id, "", caller.error());
   }
-  account = caller.value().account;
-  auto parsed = ParseCallerRequest(request.body);
+  const std::string& account = caller.value().account;
+  const auto parsed = ParseCallerRequest(request.body);
   if (!parsed.has_value()) {
     return Refuse(request_id, account, parsed.error());
   }
@@ -61,37 +86,16 @@
   if (!limit.is_allowed) {
     return Refuse(request_id, account, RateLimited(limit.reason));
   }
-  return parsed;
-}
-
-kernel::Result<AdmittedRequest, CallerError> Admission::Admit(
-    const transport::HttpRequest& request, std::string& request_id) const {
-  const std::string service = request.Parameter("service");
-  std::string account;
-  const kernel::Instant deadline = this->Deadline();
-  const auto parsed =
-      this->AdmitInTransaction(request, service, account, request_id);
-  if (!parsed.has_value()) {
-    return parsed.error();
-  }
   const auto session = this->ReadSession(request, account);
   if (!session.has_value()) {
     return Refuse(request_id, account, session.error());
   }
-  auto group = this->groups.Find(service, parsed.value().group);
-  if (group == nullptr) {
-    return Refuse(request_id, account,
-                  CallerError{404, "unknown_group",
-                              "the service has no group '" +
-                                  parsed.value().group + "'",
-                              model::Outcome::kNotRun});
-  }
   return AdmittedRequest{parsed.value(),
-                         service,
+                         caller.value().service,
                          BearerKey(request.Header("Authorization")),
                          account,
                          session.value(),
-                         std::move(group),
+                         nullptr,
                          deadline};
 }
 
@@ -104,8 +108,7 @@
   auto session = this->tokens.Decode(token, account);
   if (!session.has_value()) {
     return CallerError{
-        400,
-        "session_" + std::string(sessions::ToString(session.error())),
+        400, "session_" + std::string(sessions::ToString(session.error())),
         "the session token is not valid for this client account",
         model::Outcome::kNotRun};
   }
@@ -113,8 +116,14 @@
 }
 
 bool Admission::IsStillAuthorized(const AdmittedRequest& admitted) const {
-  return this->gate.IsStillAuthorized(admitted.key, admitted.service,
-                                      admitted.account);
+  return this->IsStillAuthorized(admitted.key, admitted.service,
+                                 admitted.account);
+}
+
+bool Admission::IsStillAuthorized(const std::string& key,
+                                  const std::string& service,
+                                  const std::string& account) const {
+  return this->gate.IsStillAuthorized(key, service, account);
 }
 
 }  // namespace laburnumkeel::entry
--- a/programs/laburnumkeel-entry/admission.h
+++ b/programs/laburnumkeel-entry/admission.h
@@ -40,17 +40,23 @@
   kernel::Result<AdmittedRequest, CallerError> Admit(
       const transport::HttpRequest& request, std::string& request_id) const;
 
-  // Checks key, body and rate of a request inside a transaction.
-  kernel::Result<CallerRequest, CallerError> AdmitInTransaction(
-      const transport::HttpRequest& request, const std::string& service,
-      std::string& account, std::string& request_id) const;
+  // Checks key, body, rate and session of a request inside a transaction, whose
+  // group is known from the transaction: `group` of the result is null.
+  kernel::Result<AdmittedRequest, CallerError> AdmitInTransaction(
+      const transport::HttpRequest& request, std::string& request_id) const;
 
   // Whether the caller's key is still valid; for requests that waited.
   bool IsStillAuthorized(const AdmittedRequest& admitted) const;
 
-  kernel::Instant Deadline() const;
+  // As above, for a key that a transaction began with.
+  bool IsStillAuthorized(const std::string& key, const std::string& service,
+                         const std::string& account) const;
 
  private:
+  kernel::Result<AdmittedRequest, CallerError> AdmitCaller(
+      const transport::HttpRequest& request,
+      const kernel::Result<AuthorizedCaller, CallerError>& caller,
+      std::string& request_id) const;
   kernel::Result<sessions::Session, CallerError> ReadSession(
       const transport::HttpRequest& request, const std::string& account) const;
 
--- a/programs/laburnumkeel-entry/control_link.cpp
+++ b/programs/laburnumkeel-entry/control_link.cpp
@@ -37,13 +37,24 @@
   return true;
 }
 
-void ControlLink::Stop() { this->task.Stop(); }
+void ControlLink::Stop() {
+  this->task.Stop();
+  // The control program may release the shares only after they are unused.
+  this->limiter.Apply({});
+  peer::generated::EntryReport report = this->MakeReport();
+  report.ended = true;
+  this->client.Run([&](peer::generated::LocalControlClient& control) {
+    peer::generated::EntryInstructions ignored;
+    control.sync(ignored, report);
+    return true;
+  });
+}
 
 void ControlLink::Exchange() {
   const kernel::Instant sent = this->clock.Now();
-  const auto instructions = this->client.Run(
-      [report = this->MakeReport()](
-          peer::generated::LocalControlClient& control) {
+  const auto instructions =
+      this->client.Run([report = this->MakeReport()](
+                           peer::generated::LocalControlClient& control) {
         peer::generated::EntryInstructions result;
         control.sync(result, report);
         return result;
@@ -72,9 +83,8 @@
   return report;
 }
 
-void ControlLink::Apply(
-    const peer::generated::EntryInstructions& instructions,
-    kernel::Instant sent) {
+void ControlLink::Apply(const peer::generated::EntryInstructions& instructions,
+                        kernel::Instant sent) {
   if (!instructions.configuration.document.empty()) {
     this->ApplyConfiguration(instructions.configuration.document);
   }
--- a/programs/laburnumkeel-entry/entry_server.cpp
+++ b/programs/laburnumkeel-entry/entry_server.cpp
@@ -64,8 +64,7 @@
 void EntryServer::Stop() { this->server.Stop(); }
 
 void EntryServer::Drain() {
-  kernel::LogEvent(kDraining,
-                   {{"grace_ms", this->settings.shutdown_grace_ms}});
+  kernel::LogEvent(kDraining, {{"grace_ms", this->settings.shutdown_grace_ms}});
   this->leaving = true;
   std::this_thread::sleep_for(milliseconds(this->settings.shutdown_grace_ms));
   this->transactions.RefuseNew();
@@ -85,10 +84,11 @@
   this->server.AddRoute("GET", "/healthz", [](const transport::HttpRequest&) {
     return Text(kOk, "ok\n");
   });
-  this->server.AddRoute("GET", "/readyz", [this](const transport::HttpRequest&) {
-    return this->IsReady() ? Text(kOk, "ready\n")
-                           : Text(kServiceUnavailable, "not ready\n");
-  });
+  this->server.AddRoute(
+      "GET", "/readyz", [this](const transport::HttpRequest&) {
+        return this->IsReady() ? Text(kOk, "ready\n")
+                               : Text(kServiceUnavailable, "not ready\n");
+      });
   this->server.AddRoute("GET", "/metrics",
                         [this](const transport::HttpRequest&) {
                           return Text(kOk, this->metrics.Text());
@@ -132,24 +132,23 @@
                          return this->transactions.Abort(request);
                        });
   this->server.SetDefault([](const transport::HttpRequest&) {
-    return ToHttpResponse(CallerError{404, "unknown_route",
-                                      "there is no such route and method",
-                                      model::Outcome::kNotRun},
-                          "", "");
+    return ToHttpResponse(
+        CallerError{404, "unknown_route", "there is no such route and method",
+                    model::Outcome::kNotRun},
+        "", "");
   });
 }
 
 void EntryServer::AddCallerRoute(const std::string& route, Handler handler) {
-  this->server.AddRoute(
-      "POST", route,
-      [this, handler = std::move(handler)](
-          const transport::HttpRequest& request) {
-        const RequestGate::Pass pass = this->requests.Enter();
-        if (!pass.IsGranted()) {
-          return ToHttpResponse(Leaving(), "", "");
-        }
-        return handler(request);
-      });
+  this->server.AddRoute("POST", route,
+                        [this, handler = std::move(handler)](
+                            const transport::HttpRequest& request) {
+                          const RequestGate::Pass pass = this->requests.Enter();
+                          if (!pass.IsGranted()) {
+                            return ToHttpResponse(Leaving(), "", "");
+                          }
+                          return handler(request);
+                        });
 }
 
 transport::HttpResponse EntryServer::HandleStatement(
@@ -164,25 +163,23 @@
     return ToHttpResponse(admitted.error(), request_id, "");
   }
   const StatementOutcome outcome = execute(admitted.value());
-  this->metrics.Observe(
-      kind + "_ms",
-      std::chrono::duration<double, std::milli>(this->clock.Now() - began)
-          .count());
+  this->metrics.Observe(kind + "_ms", std::chrono::duration<double, std::milli>(
+                                          this->clock.Now() - began)
+                                          .count());
   if (outcome.result.has_value()) {
-    this->metrics.Count(kind + "_by_" + outcome.result.value().role +
-                        "_total");
+    this->metrics.Count(kind + "_by_" + outcome.result.value().role + "_total");
   } else {
     this->metrics.Count(
         kind + "_" +
         std::string(model::ToString(outcome.result.error().outcome)) +
         "_total");
-    kernel::LogEvent(kRequestFailed,
-                     {{"request", request_id},
-                      {"account", admitted.value().account},
-                      {"group", admitted.value().request.group},
-                      {"code", outcome.result.error().code},
-                      {"outcome", model::ToString(
-                                      outcome.result.error().outcome)}});
+    kernel::LogEvent(
+        kRequestFailed,
+        {{"request", request_id},
+         {"account", admitted.value().account},
+         {"group", admitted.value().request.group},
+         {"code", outcome.result.error().code},
+         {"outcome", model::ToString(outcome.result.error().outcome)}});
   }
   return this->Respond(outcome, request_id, "");
 }
--- a/programs/laburnumkeel-entry/events.h
+++ b/programs/laburnumkeel-entry/events.h
@@ -34,10 +34,14 @@
     "all requests and transactions have ended, or reached their time limit"};
 
 // All events of this program, for the catalogue.
-inline constexpr std::array kEvents{
-    kControlLost,    kControlFound,  kConfigurationApplied,
-    kConfigurationUnreadable,        kRequestRefused,
-    kRequestFailed,  kDraining,      kDrained};
+inline constexpr std::array kEvents{kControlLost,
+                                    kControlFound,
+                                    kConfigurationApplied,
+                                    kConfigurationUnreadable,
+                                    kRequestRefused,
+                                    kRequestFailed,
+                                    kDraining,
+                                    kDrained};
 
 }  // namespace laburnumkeel::entry
 
--- a/programs/laburnumkeel-entry/group_directory.cpp
+++ b/programs/laburnumkeel-entry/group_directory.cpp
@@ -17,9 +17,9 @@
       std::shared_ptr<GroupRuntime> runtime =
           this->Find(service.name, group.name);
       if (runtime == nullptr) {
-        runtime = std::make_shared<GroupRuntime>(
-            this->origin, group, configuration.data_centres,
-            configuration.fleet_size);
+        runtime = std::make_shared<GroupRuntime>(this->origin, group,
+                                                 configuration.data_centres,
+                                                 configuration.fleet_size);
       } else {
         runtime->Reconfigure(group, configuration.data_centres,
                              configuration.fleet_size);
@@ -42,9 +42,8 @@
 bool GroupDirectory::IsReady() const {
   const std::lock_guard lock(this->mutex);
   return !this->groups.empty() &&
-         std::all_of(
-             this->groups.begin(), this->groups.end(),
-             [](const auto& entry) { return entry.second->IsReady(); });
+         std::all_of(this->groups.begin(), this->groups.end(),
+                     [](const auto& entry) { return entry.second->IsReady(); });
 }
 
 }  // namespace laburnumkeel::entry
--- a/programs/laburnumkeel-entry/group_runtime.cpp
+++ b/programs/laburnumkeel-entry/group_runtime.cpp
@@ -162,8 +162,7 @@
   return std::all_of(
       this->members.begin(), this->members.end(), [this](const auto& member) {
         const auto known = this->failing.find(member.first);
-        const bool unreachable =
-            known != this->failing.end() && known->second;
+        const bool unreachable = known != this->failing.end() && known->second;
         return unreachable || member.second.pool->IsWarm();
       });
 }
--- a/programs/laburnumkeel-entry/read_path.cpp
+++ b/programs/laburnumkeel-entry/read_path.cpp
@@ -43,9 +43,7 @@
 
 ReadPath::ReadPath(const Admission& admission, std::string data_centre,
                    kernel::Metrics& metrics)
-    : admission(admission),
-      router(std::move(data_centre)),
-      metrics(metrics) {}
+    : admission(admission), router(std::move(data_centre)), metrics(metrics) {}
 
 StatementOutcome ReadPath::Execute(const AdmittedRequest& admitted) const {
   const routing::ReadRequirement requirement = RequirementOf(admitted);
@@ -127,8 +125,7 @@
       candidate.needs_confirmation
           ? admitted.session.AfterConfirmedRead(admitted.request.group,
                                                 position, terms, began_unix_ms)
-          : admitted.session.AfterRead(admitted.request.group, position,
-                                       terms),
+          : admitted.session.AfterRead(admitted.request.group, position, terms),
       true};
 }
 
@@ -164,8 +161,7 @@
                                         kernel::Instant began) const {
   auto view = admitted.group->View();
   while (!routing::IsPrimaryConfirmed(*view, term, began)) {
-    if (view->HighestTerm() > term ||
-        this->clock.Now() >= admitted.deadline) {
+    if (view->HighestTerm() > term || this->clock.Now() >= admitted.deadline) {
       return false;
     }
     view = admitted.group->WaitForChange(view, admitted.deadline);
--- a/programs/laburnumkeel-entry/read_path.h
+++ b/programs/laburnumkeel-entry/read_path.h
@@ -39,8 +39,7 @@
       const AdmittedRequest& admitted, const std::string& endpoint,
       bool is_last) const;
   bool AwaitPrimaryConfirmation(const AdmittedRequest& admitted,
-                                model::Term term,
-                                kernel::Instant began) const;
+                                model::Term term, kernel::Instant began) const;
 
   const Admission& admission;
   const routing::ReadRouter router;
--- /dev/null
+++ b/programs/laburnumkeel-entry/transaction_path.h
@@ -0,0 +1,81 @@
+#ifndef LABURNUMKEEL_PROGRAMS_ENTRY_TRANSACTION_PATH_H_
+#define LABURNUMKEEL_PROGRAMS_ENTRY_TRANSACTION_PATH_H_
+
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "laburnumkeel/endpoints/transaction_registry.h"
+#include "laburnumkeel/model/configuration.h"
+#include "programs/laburnumkeel-entry/caller_response.h"
+#include "programs/laburnumkeel-entry/write_path.h"
+
+namespace laburnumkeel::entry {
+
+// Transactions of callers, which run on the primary and hold a connection of
+// this VM.
+class TransactionPath {
+ public:
+  TransactionPath(const endpoints::TransactionSettings& settings,
+                  const Admission& admission, const GroupDirectory& groups,
+                  const sessions::SessionTokenCodec& tokens,
+                  const WritePath& writes, const Retrier& retrier);
+
+  transport::HttpResponse Begin(const transport::HttpRequest& request);
+  transport::HttpResponse Execute(const transport::HttpRequest& request);
+  transport::HttpResponse Commit(const transport::HttpRequest& request);
+  transport::HttpResponse Abort(const transport::HttpRequest& request);
+
+  // Aborts transactions whose key is no longer valid.
+  void AbortRevoked();
+
+  void RefuseNew() { this->registry.RefuseNew(); }
+
+  // Returns true when no transaction is open, false after `timeout`.
+  bool AwaitNone(std::chrono::milliseconds timeout) const;
+
+ private:
+  using Registry = endpoints::TransactionRegistry<kernel::BootClock>;
+
+  // With which key a transaction began.
+  struct Owner {
+    std::string key;
+    std::string service;
+    std::string account;
+  };
+
+  struct Begun {
+    endpoints::BegunTransaction transaction;
+    std::string endpoint;
+  };
+
+  kernel::Result<Begun, endpoints::EndpointError> TryBegin(
+      const AdmittedRequest& admitted);
+  kernel::Result<endpoints::StatementResult, endpoints::EndpointError>
+  CommitAndConfirm(const AdmittedRequest& admitted, const std::string& id,
+                   const endpoints::TransactionScope& scope);
+  transport::HttpResponse Succeed(const AdmittedRequest& admitted,
+                                  const endpoints::StatementResult& result,
+                                  const std::string& endpoint,
+                                  const std::string& id,
+                                  const sessions::Session& session) const;
+  transport::HttpResponse Fail(const AdmittedRequest& admitted,
+                               const endpoints::EndpointError& error,
+                               const sessions::Session& session) const;
+  std::chrono::milliseconds TimeLeft(const AdmittedRequest& admitted) const;
+  void Forget(const std::string& id);
+
+  const Admission& admission;
+  const GroupDirectory& groups;
+  const sessions::SessionTokenCodec& tokens;
+  const WritePath& writes;
+  const Retrier& retrier;
+  const kernel::BootClock clock;
+  std::mutex mutex;
+  std::map<std::string, Owner> owners;
+  Registry registry;
+};
+
+}  // namespace laburnumkeel::entry
+
+#endif  // LABURNUMKEEL_PROGRAMS_ENTRY_TRANSACTION_PATH_H_
--- a/programs/laburnumkeel-entry/write_path.cpp
+++ b/programs/laburnumkeel-entry/write_path.cpp
@@ -1,8 +1,6 @@
 #include "programs/laburnumkeel-entry/write_path.h"
 
 #include <algorithm>
-#include <random>
-#include <thread>
 
 #include "laburnumkeel/kernel/wall_clock.h"
 #include "laburnumkeel/routing/routing_log.h"
@@ -14,11 +12,6 @@
 
 using std::chrono::milliseconds;
 
-double RandomFraction() {
-  thread_local std::mt19937_64 random{std::random_device{}()};
-  return std::uniform_real_distribution<double>(0, 1)(random);
-}
-
 // The position whose confirmation proves the write. A repeated write with an
 // idempotency id can return an entry of an earlier term; that entry is durable
 // once a majority holds the first entry of the primary's own term.
@@ -37,8 +30,8 @@
 
 }  // namespace
 
-WritePath::WritePath(const Admission& admission, kernel::Metrics& metrics)
-    : admission(admission), metrics(metrics) {}
+WritePath::WritePath(const Admission& admission, const Retrier& retrier)
+    : admission(admission), retrier(retrier) {}
 
 StatementOutcome WritePath::Execute(const AdmittedRequest& admitted) const {
   const std::string& group = admitted.request.group;
@@ -48,45 +41,26 @@
     if (served.has_value()) {
       const auto& value = served.value();
       return StatementOutcome{
-          value,
-          admitted.session.AfterWrite(
-              group, value.result.position,
-              TermStartsOf(*admitted.group->View(), value.endpoint))};
+          value, admitted.session.AfterWrite(
+                     group, value.result.position,
+                     TermStartsOf(*admitted.group->View(), value.endpoint))};
     }
     endpoints::EndpointError error = served.error();
     may_have_run = may_have_run || error.outcome == model::Outcome::kUnknown;
-    if (this->AwaitRetry(admitted, error, attempts)) {
+    if (this->retrier.AwaitRetry(admitted, error, attempts)) {
       continue;
     }
     // An attempt that did not run says nothing about earlier ones.
     if (may_have_run) {
       error.outcome = model::Outcome::kUnknown;
-      return StatementOutcome{
-          ToCallerError(error),
-          admitted.session.AfterUnknownWrite(group, kernel::UnixMilliseconds())};
+      return StatementOutcome{ToCallerError(error),
+                              admitted.session.AfterUnknownWrite(
+                                  group, kernel::UnixMilliseconds())};
     }
     return StatementOutcome{ToCallerError(error), admitted.session};
   }
 }
 
-bool WritePath::AwaitRetry(const AdmittedRequest& admitted,
-                           const endpoints::EndpointError& error,
-                           int attempts) const {
-  const endpoints::FailedAttempt attempt{
-      error.outcome, error.code,
-      admitted.request.repeatable ||
-          admitted.request.idempotency_id.has_value(),
-      attempts, admitted.deadline - this->clock.Now()};
-  const endpoints::RetryDecision decision =
-      this->retry_policy.Decide(attempt, RandomFraction());
-  endpoints::LogRetryDecision(admitted.request.request_id, attempt, decision);
-  if (decision.retry) {
-    this->metrics.Count("write_retries_total");
-    std::this_thread::sleep_for(decision.backoff);
-  }
-  return decision.retry;
-}
-
 kernel::Result<ServedStatement, endpoints::EndpointError> WritePath::Attempt(
     const AdmittedRequest& admitted, int attempt) const {
   const auto view = admitted.group->View();
@@ -154,8 +128,8 @@
           "the write was executed and not confirmed by a majority: " +
               std::string(routing::ToString(confirmation.reason)));
     }
-    view = group.WaitForChange(
-        view, write.started + routing::kAcknowledgementBound);
+    view = group.WaitForChange(view,
+                               write.started + routing::kAcknowledgementBound);
   }
 }
 
--- a/programs/laburnumkeel-entry/write_path.h
+++ b/programs/laburnumkeel-entry/write_path.h
@@ -1,12 +1,11 @@
 #ifndef LABURNUMKEEL_PROGRAMS_ENTRY_WRITE_PATH_H_
 #define LABURNUMKEEL_PROGRAMS_ENTRY_WRITE_PATH_H_
 
-#include "laburnumkeel/endpoints/retry_policy.h"
 #include "laburnumkeel/kernel/boot_clock.h"
-#include "laburnumkeel/kernel/metrics.h"
 #include "laburnumkeel/routing/write_confirmation.h"
 #include "laburnumkeel/routing/write_router.h"
 #include "programs/laburnumkeel-entry/admission.h"
+#include "programs/laburnumkeel-entry/retrier.h"
 #include "programs/laburnumkeel-entry/statement_outcome.h"
 
 namespace laburnumkeel::entry {
@@ -15,7 +14,7 @@
 // group holds them.
 class WritePath {
  public:
-  WritePath(const Admission& admission, kernel::Metrics& metrics);
+  WritePath(const Admission& admission, const Retrier& retrier);
 
   // Retries attempts that did not run, and unknown ones of repeatable writes,
   // until the deadline of the request.
@@ -32,14 +31,10 @@
   kernel::Result<endpoints::StatementResult, endpoints::EndpointError> Send(
       const AdmittedRequest& admitted, int attempt,
       const routing::WriteTarget& target) const;
-  // Waits before another attempt; false when there is none.
-  bool AwaitRetry(const AdmittedRequest& admitted,
-                  const endpoints::EndpointError& error, int attempts) const;
 
   const Admission& admission;
-  kernel::Metrics& metrics;
+  const Retrier& retrier;
   const kernel::BootClock clock;
-  const endpoints::RetryPolicy retry_policy{endpoints::RetryLimits{}};
 };
 
 }  // namespace laburnumkeel::entry
--- a/src/laburnumkeel/kernel/periodic_task.cpp
+++ b/src/laburnumkeel/kernel/periodic_task.cpp
@@ -38,8 +38,8 @@
     lock.unlock();
     const Duration wait = this->step();
     lock.lock();
-    this->signal.wait_for(
-        lock, wait, [this] { return this->stopping || this->woken; });
+    this->signal.wait_for(lock, wait,
+                          [this] { return this->stopping || this->woken; });
   }
 }
 
--- a/src/laburnumkeel/peer/idl/peer.thrift
+++ b/src/laburnumkeel/peer/idl/peer.thrift
@@ -53,6 +53,8 @@
   // incarnation that made it.
   4: i64 applied_offer,
   5: string control_incarnation,
+  // Last report of an entry program that leaves: it has dropped all shares.
+  6: bool ended,
 }
 
 struct Share {
