--- a/src/laburnumkeel/transport/http_server.cpp
+++ b/src/laburnumkeel/transport/http_server.cpp
@@ -69,9 +69,13 @@
     for (const auto& [name, value] : result.headers) {
       u_map_put(response->map_header, name.c_str(), value.c_str());
     }
-    ulfius_set_binary_body_response(response,
-                                    static_cast<unsigned int>(result.status),
-                                    result.body.data(), result.body.size());
+    // ulfius refuses an empty body and would leave the status at 200.
+    response->status = result.status;
+    if (!result.body.empty()) {
+      ulfius_set_binary_body_response(response,
+                                      static_cast<unsigned int>(result.status),
+                                      result.body.data(), result.body.size());
+    }
     return U_CALLBACK_COMPLETE;
   }
 
