--- a/src/laburnumkeel/platform/object_store_client.cpp
+++ b/src/laburnumkeel/platform/object_store_client.cpp
@@ -19,8 +19,7 @@
 
 kernel::Result<std::optional<std::string>, PlatformError>
 ObjectStoreClient::Get(const std::string& name) {
-  auto response =
-      this->caller.Call("GET", "/objects/" + EncodePathSegment(name), "");
+  auto response = this->caller.Call("GET", "/objects/" + EncodePath(name), "");
   if (!response.has_value()) {
     return PlatformError{PlatformFailure::kUnavailable,
                          response.error().message};
@@ -36,8 +35,8 @@
 
 kernel::Result<void, PlatformError> ObjectStoreClient::Put(
     const std::string& name, std::string content) {
-  const auto response = this->caller.Call(
-      "PUT", "/objects/" + EncodePathSegment(name), std::move(content));
+  const auto response = this->caller.Call("PUT", "/objects/" + EncodePath(name),
+                                          std::move(content));
   if (!response.has_value()) {
     return response.error();
   }
--- a/src/laburnumkeel/platform/platform_caller.cpp
+++ b/src/laburnumkeel/platform/platform_caller.cpp
@@ -11,9 +11,10 @@
 
 constexpr int kServiceUnavailable = 503;
 
-bool IsUnreserved(char c) {
+bool IsPathCharacter(char c) {
   return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-         (c >= '0' && c <= '9') || c == '-' || c == '.' || c == '_' || c == '~';
+         (c >= '0' && c <= '9') || c == '-' || c == '.' || c == '_' ||
+         c == '~' || c == '/';
 }
 
 }  // namespace
@@ -49,11 +50,11 @@
                        error.message};
 }
 
-std::string EncodePathSegment(std::string_view text) {
+std::string EncodePath(std::string_view text) {
   constexpr std::string_view kDigits = "0123456789ABCDEF";
   std::string encoded;
   for (const char c : text) {
-    if (IsUnreserved(c)) {
+    if (IsPathCharacter(c)) {
       encoded += c;
       continue;
     }
--- a/src/laburnumkeel/platform/platform_caller.h
+++ b/src/laburnumkeel/platform/platform_caller.h
@@ -31,8 +31,9 @@
   const std::chrono::milliseconds timeout;
 };
 
-// The text as one segment of a URL path. Source: RFC 3986, section 2.1.
-std::string EncodePathSegment(std::string_view text);
+// The text as the end of a URL path; '/' stays, as row keys contain it.
+// Source: RFC 3986, section 2.1.
+std::string EncodePath(std::string_view text);
 
 // The error for a status that the caller does not expect. Status 503 says that
 // the service did not carry out the operation.
--- a/src/laburnumkeel/platform/table_client.cpp
+++ b/src/laburnumkeel/platform/table_client.cpp
@@ -65,7 +65,7 @@
 kernel::Result<TableRow, PlatformError> TableClient::Read(
     const std::string& key) {
   const auto response =
-      this->caller.Call("GET", "/table/rows/" + EncodePathSegment(key), "");
+      this->caller.Call("GET", "/table/rows/" + EncodePath(key), "");
   if (!response.has_value()) {
     return PlatformError{PlatformFailure::kUnavailable,
                          response.error().message};
