--- /dev/null
+++ b/src/laburnumkeel/configuration/startup_rule.cpp
@@ -0,0 +1,33 @@
+#include "laburnumkeel/configuration/startup_rule.h"
+
+#include <algorithm>
+
+namespace laburnumkeel::configuration {
+
+void StartupRule::StoreAnswered(std::uint64_t version) {
+  this->store_answered = true;
+  this->highest_version = std::max(this->highest_version, version);
+}
+
+void StartupRule::PeerAnswered(const std::string& vm, std::uint64_t version) {
+  if (version == 0) {
+    return;
+  }
+  this->answered_vms.insert(vm);
+  this->highest_version = std::max(this->highest_version, version);
+}
+
+bool StartupRule::IsReady(const std::vector<std::string>& listed_vms,
+                          std::uint64_t held_version) const {
+  if (held_version == 0 || held_version < this->highest_version) {
+    return false;
+  }
+  const auto answers = std::count_if(listed_vms.begin(), listed_vms.end(),
+                                     [this](const std::string& vm) {
+                                       return this->answered_vms.contains(vm);
+                                     });
+  return this->store_answered ||
+         static_cast<std::size_t>(answers) * 2 > listed_vms.size();
+}
+
+}  // namespace laburnumkeel::configuration
--- /dev/null
+++ b/src/laburnumkeel/configuration/startup_rule.h
@@ -0,0 +1,35 @@
+#ifndef LABURNUMKEEL_CONFIGURATION_STARTUP_RULE_H_
+#define LABURNUMKEEL_CONFIGURATION_STARTUP_RULE_H_
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace laburnumkeel::configuration {
+
+// Decides when a starting VM may serve. A VM persists nothing, so it has to
+// learn the newest version from the store or from a majority of the listed
+// VMs. Not thread-safe.
+class StartupRule {
+ public:
+  void StoreAnswered(std::uint64_t version);
+
+  // A peer that holds no configuration is starting itself and does not count.
+  void PeerAnswered(const std::string& vm, std::uint64_t version);
+
+  // `listed_vms` are the names of the platform's VM list, which may contain
+  // this VM. True when the store or a majority of them answered, and
+  // `held_version` is at least the highest version that they told of.
+  bool IsReady(const std::vector<std::string>& listed_vms,
+               std::uint64_t held_version) const;
+
+ private:
+  bool store_answered = false;
+  std::set<std::string> answered_vms;
+  std::uint64_t highest_version = 0;
+};
+
+}  // namespace laburnumkeel::configuration
+
+#endif  // LABURNUMKEEL_CONFIGURATION_STARTUP_RULE_H_
