Add the stand-ins for endpoints and the platform

Tests and demonstrations need a database group and the platform's services that can be delayed, cut off, frozen and made to garble single responses. A blocking thread for each connection makes this possible without effect on other connections; ulfius gives no access to the socket.

Transactions check their observed keys at commit, which adds the refusal 'conflict' to the endpoint protocol.

--- /dev/null
+++ b/standins/standin-endpoint/replicator.cpp
@@ -0,0 +1,86 @@
+#include "standins/standin-endpoint/replicator.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "standins/common/origin.h"
+
+namespace laburnumkeel::standins {
+
+namespace {
+
+constexpr std::chrono::milliseconds kHeartbeat{50};
+constexpr std::chrono::milliseconds kTimeout{1000};
+
+}  // namespace
+
+Replicator::Replicator(Database& database, const std::string& address,
+                       std::string origin, std::function<bool()> may_send)
+    : database(database),
+      client(address, transport::ConnectionLimits{}),
+      origin(std::move(origin)),
+      may_send(std::move(may_send)) {}
+
+Replicator::~Replicator() { this->Stop(); }
+
+void Replicator::Start() {
+  this->thread = std::thread([this] { this->Loop(); });
+}
+
+void Replicator::Stop() {
+  this->stopping = true;
+  if (this->thread.joinable()) {
+    this->thread.join();
+  }
+}
+
+void Replicator::Loop() {
+  while (!this->stopping) {
+    const auto replication = this->database.EntriesAfter(this->member_position);
+    if (!replication.has_value() || !this->may_send() ||
+        !this->Send(*replication)) {
+      std::this_thread::sleep_for(kHeartbeat);
+      continue;
+    }
+    this->database.WaitForEntries(this->member_position, kHeartbeat);
+  }
+}
+
+bool Replicator::Send(const Replication& replication) {
+  const auto response = this->client.Send(
+      transport::HttpRequest{"POST",
+                             "/v1/replicate",
+                             {{std::string(kOriginHeader), this->origin}},
+                             ToJson(replication).dump(),
+                             {}},
+      kTimeout);
+  if (!response.has_value()) {
+    return false;
+  }
+  const auto document =
+      nlohmann::json::parse(response.value().body, nullptr, false);
+  const auto status = document.is_object()
+                          ? model::EndpointStatusFromJson(document)
+                          : std::nullopt;
+  if (!status.has_value()) {
+    return false;
+  }
+  if (document.value("accepted", false)) {
+    this->member_position =
+        replication.previous.position + replication.entries.size();
+    return true;
+  }
+  if (status->sealed_term > replication.term) {
+    // The member follows a later term; this primary is a former one.
+    return false;
+  }
+  // The logs differ at `previous`: look for the last common entry before it.
+  const std::uint64_t before = replication.previous.position == 0
+                                   ? 0
+                                   : replication.previous.position - 1;
+  this->member_position = std::min(before, status->log_end.position);
+  return true;
+}
+
+}  // namespace laburnumkeel::standins
--- /dev/null
+++ b/standins/standin-endpoint/standin_endpoint.cpp
@@ -0,0 +1,132 @@
+#include "standins/standin-endpoint/standin_endpoint.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "standins/common/answer_text.h"
+#include "standins/common/fault_routes.h"
+#include "standins/common/named_values.h"
+#include "standins/standin-endpoint/statement_calls.h"
+
+namespace laburnumkeel::standins {
+
+namespace {
+
+DatabaseOptions ToDatabaseOptions(const EndpointSettings& settings) {
+  return DatabaseOptions{
+      settings.name, settings.group, settings.initial_primary,
+      std::chrono::milliseconds(settings.replication_lag_ms)};
+}
+
+StandinServerOptions ToServerOptions(const EndpointSettings& settings,
+                                     const LatencyTable& latencies) {
+  return StandinServerOptions{
+      settings.listen,
+      std::chrono::milliseconds(settings.connect_delay_ms),
+      latencies,
+      settings.record_received,
+      // Status polls and replication must not use up a counted fault.
+      {"/v1/execute", "/v1/begin", "/v1/commit", "/v1/abort"}};
+}
+
+const std::vector<FaultMode> kModes{FaultMode::kNone,
+                                    FaultMode::kDown,
+                                    FaultMode::kSlow,
+                                    FaultMode::kLoseAnswers,
+                                    FaultMode::kFreeze,
+                                    FaultMode::kCut,
+                                    FaultMode::kCloseBeforeExecute,
+                                    FaultMode::kResetAfterRead,
+                                    FaultMode::kHalfAnswer,
+                                    FaultMode::kLateAnswer,
+                                    FaultMode::kCrossedAnswer,
+                                    FaultMode::kDoubledAnswer,
+                                    FaultMode::kOversizedAnswer};
+
+}  // namespace
+
+StandinEndpoint::StandinEndpoint(const EndpointSettings& settings)
+    : settings(settings),
+      latencies(
+          LatencyTable::Parse(settings.latencies).value_or(LatencyTable{})),
+      database(ToDatabaseOptions(settings)),
+      slots(settings.slots),
+      member_calls(this->database, this->latencies),
+      server(ToServerOptions(settings, this->latencies),
+             [this] { return this->MakeHandler(); }),
+      faults_server(settings.faults_listen, transport::ServerLimits{}) {
+  this->AddFaultPortRoutes();
+  const auto members = ParseNamedAddresses(settings.members);
+  for (const auto& [name, address] : *members) {
+    if (name != settings.name) {
+      this->replicators.push_back(std::make_unique<Replicator>(
+          this->database, address, settings.name + "/" + settings.data_centre,
+          [this, member = name] { return this->MaySendTo(member); }));
+    }
+  }
+}
+
+StandinEndpoint::~StandinEndpoint() { this->Stop(); }
+
+bool StandinEndpoint::Start() {
+  if (!this->server.Start() || !this->faults_server.Start()) {
+    return false;
+  }
+  for (const auto& replicator : this->replicators) {
+    replicator->Start();
+  }
+  return true;
+}
+
+void StandinEndpoint::Stop() {
+  this->database.Stop();
+  for (const auto& replicator : this->replicators) {
+    replicator->Stop();
+  }
+  this->faults_server.Stop();
+  this->server.Stop();
+}
+
+ConnectionHandler StandinEndpoint::MakeHandler() {
+  auto calls = std::make_shared<StatementCalls>(StatementEnvironment{
+      this->database, this->slots, this->executions,
+      std::chrono::milliseconds(this->settings.statement_ms)});
+  ConnectionHandler handler;
+  handler.admit = [calls](const transport::HttpRequest& request)
+      -> std::optional<transport::HttpResponse> {
+    if (!StatementCalls::IsStatementCall(request)) {
+      return std::nullopt;
+    }
+    return calls->Admit(request);
+  };
+  handler.execute = [this, calls](const transport::HttpRequest& request) {
+    return StatementCalls::IsStatementCall(request)
+               ? calls->Execute(request)
+               : this->member_calls.Execute(request);
+  };
+  handler.answered = [calls] { calls->Answered(); };
+  return handler;
+}
+
+void StandinEndpoint::AddFaultPortRoutes() {
+  AddFaultRoutes(this->faults_server, this->server, kModes);
+  this->faults_server.AddRoute(
+      "GET", "/executions", [this](const transport::HttpRequest&) {
+        return JsonResponse(200, this->executions.Copy());
+      });
+  this->faults_server.AddRoute(
+      "GET", "/received", [this](const transport::HttpRequest&) {
+        return transport::HttpResponse{
+            200,
+            {{"Content-Type", "application/octet-stream"}},
+            this->server.Received().Copy()};
+      });
+}
+
+bool StandinEndpoint::MaySendTo(const std::string& member) const {
+  const FaultPlan& faults = this->server.Faults();
+  return !faults.IsDown() && !faults.IsFrozen() &&
+         !faults.IsCut(Origin{member, ""});
+}
+
+}  // namespace laburnumkeel::standins
--- /dev/null
+++ b/standins/standin-endpoint/standin_endpoint.h
@@ -0,0 +1,46 @@
+#ifndef LABURNUMKEEL_STANDINS_ENDPOINT_STANDIN_ENDPOINT_H_
+#define LABURNUMKEEL_STANDINS_ENDPOINT_STANDIN_ENDPOINT_H_
+
+#include <memory>
+#include <vector>
+
+#include "laburnumkeel/kernel/service.h"
+#include "laburnumkeel/transport/http_server.h"
+#include "standins/common/standin_server.h"
+#include "standins/standin-endpoint/endpoint_settings.h"
+#include "standins/standin-endpoint/execution_counter.h"
+#include "standins/standin-endpoint/member_calls.h"
+#include "standins/standin-endpoint/replicator.h"
+#include "standins/standin-endpoint/slot_pool.h"
+
+namespace laburnumkeel::standins {
+
+// One database endpoint with its faults port. Needs settings whose lists are
+// well formed.
+class StandinEndpoint final : public kernel::Service {
+ public:
+  explicit StandinEndpoint(const EndpointSettings& settings);
+  ~StandinEndpoint() override;
+
+  bool Start() override;
+  void Stop() override;
+
+ private:
+  ConnectionHandler MakeHandler();
+  void AddFaultPortRoutes();
+  bool MaySendTo(const std::string& member) const;
+
+  const EndpointSettings settings;
+  const LatencyTable latencies;
+  Database database;
+  SlotPool slots;
+  ExecutionCounter executions;
+  MemberCalls member_calls;
+  StandinServer server;
+  transport::HttpServer faults_server;
+  std::vector<std::unique_ptr<Replicator>> replicators;
+};
+
+}  // namespace laburnumkeel::standins
+
+#endif  // LABURNUMKEEL_STANDINS_ENDPOINT_STANDIN_ENDPOINT_H_
--- /dev/null
+++ b/standins/standin-platform/platform_calls.h
@@ -0,0 +1,49 @@
+#ifndef LABURNUMKEEL_STANDINS_PLATFORM_PLATFORM_CALLS_H_
+#define LABURNUMKEEL_STANDINS_PLATFORM_PLATFORM_CALLS_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <nlohmann/json_fwd.hpp>
+#include <vector>
+
+#include "laburnumkeel/transport/http_message.h"
+#include "standins/standin-platform/object_store.h"
+#include "standins/standin-platform/table.h"
+#include "standins/standin-platform/vm_list.h"
+
+namespace laburnumkeel::standins {
+
+// The calls of the platform. Thread-safe.
+class PlatformCalls {
+ public:
+  PlatformCalls(std::vector<ListedVm> vms, std::chrono::milliseconds vm_lag);
+
+  transport::HttpResponse Execute(const transport::HttpRequest& request);
+
+  VmList& Vms() { return this->vms; }
+
+  // Number of executed calls: `reads` and `writes` in total, and the calls of
+  // each kind.
+  nlohmann::json Counters() const;
+
+ private:
+  transport::HttpResponse CommitTransaction(const std::string& body);
+  transport::HttpResponse ReadRow(const std::string& key);
+  transport::HttpResponse GetObject(const std::string& name);
+  transport::HttpResponse PutObject(const std::string& name,
+                                    const std::string& content);
+
+  Table table;
+  ObjectStore objects;
+  VmList vms;
+  std::atomic<std::int64_t> table_reads = 0;
+  std::atomic<std::int64_t> table_writes = 0;
+  std::atomic<std::int64_t> object_reads = 0;
+  std::atomic<std::int64_t> object_writes = 0;
+  std::atomic<std::int64_t> vm_list_reads = 0;
+};
+
+}  // namespace laburnumkeel::standins
+
+#endif  // LABURNUMKEEL_STANDINS_PLATFORM_PLATFORM_CALLS_H_
