Add share ledger, account limits and session tokens

Limits: each VM holds a dynamic and a reserve share of every account, kept in the ledger row by compare-and-set. A lower share reaches the entry program before the ledger shows it; a higher one is used only once its write is known to be committed. An unconfirmed lower share stays in the ledger until it expires. The entry's sequence number, unique for each attempt, takes the place of the operation id in the read-back, because the row shows only the operation id of its last writer.

Idle VMs lend their reserve when another VM needs it.

Sessions: an old position is replaced by one of a higher term only if that term's log contains it, so that a lost write is noticed after a failover.

--- /dev/null
+++ b/src/laburnumkeel/limits/account_limiter.h
@@ -0,0 +1,90 @@
+#ifndef LABURNUMKEEL_LIMITS_ACCOUNT_LIMITER_H_
+#define LABURNUMKEEL_LIMITS_ACCOUNT_LIMITER_H_
+
+#include <algorithm>
+#include <map>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "laburnumkeel/kernel/clock.h"
+#include "laburnumkeel/limits/account_buckets.h"
+#include "laburnumkeel/limits/account_demand.h"
+#include "laburnumkeel/limits/limit_decision.h"
+#include "laburnumkeel/limits/share.h"
+
+namespace laburnumkeel::limits {
+
+// Limits of all accounts in the entry program of one VM. Thread-safe.
+template <kernel::Clock ClockType>
+class AccountLimiter {
+ public:
+  explicit AccountLimiter(ClockType clock) : clock(std::move(clock)) {}
+
+  // Takes a token for one request of an authenticated account. Every call
+  // counts as demand, whatever the decision.
+  LimitDecision TryTake(const std::string& account) {
+    const std::lock_guard lock(this->mutex);
+    // The time is read under the lock, so that it does not go backwards
+    // between two requests of an account.
+    return this->accounts[account].TryTake(this->clock.Now());
+  }
+
+  // Replaces all shares of this VM. An account or kind that is not in
+  // `shares` loses its share and tokens at once.
+  void Apply(const std::vector<Share>& shares) {
+    const std::lock_guard lock(this->mutex);
+    const kernel::Instant now = this->clock.Now();
+    for (const Share& share : shares) {
+      this->accounts[share.account].Apply(share, now);
+    }
+    for (auto& [account, buckets] : this->accounts) {
+      for (const ShareKind kind : {ShareKind::kDynamic, ShareKind::kReserve}) {
+        if (!Contains(shares, account, kind)) {
+          buckets.Remove(kind, now);
+        }
+      }
+    }
+    this->RemoveIdle(shares, now);
+  }
+
+  // Demand of every account that has a share or recent requests.
+  std::vector<AccountDemand> Demand() {
+    const std::lock_guard lock(this->mutex);
+    const kernel::Instant now = this->clock.Now();
+    std::vector<AccountDemand> demands;
+    for (const auto& [account, buckets] : this->accounts) {
+      demands.push_back(AccountDemand{account, buckets.Demand(now)});
+    }
+    return demands;
+  }
+
+ private:
+  static bool Contains(const std::vector<Share>& shares,
+                       const std::string& account, ShareKind kind) {
+    return std::any_of(shares.begin(), shares.end(), [&](const Share& share) {
+      return share.account == account && share.kind == kind;
+    });
+  }
+
+  // Bounds the memory by the accounts of the configuration.
+  void RemoveIdle(const std::vector<Share>& shares, kernel::Instant now) {
+    constexpr double kIdle = 1e-3;
+    std::erase_if(this->accounts, [&](const auto& item) {
+      return item.second.Demand(now) < kIdle &&
+             std::none_of(shares.begin(), shares.end(),
+                          [&](const Share& share) {
+                            return share.account == item.first;
+                          });
+    });
+  }
+
+  ClockType clock;
+  std::mutex mutex;
+  std::map<std::string, AccountBuckets> accounts;
+};
+
+}  // namespace laburnumkeel::limits
+
+#endif  // LABURNUMKEEL_LIMITS_ACCOUNT_LIMITER_H_
--- /dev/null
+++ b/src/laburnumkeel/limits/demand_meter.cpp
@@ -0,0 +1,36 @@
+#include "laburnumkeel/limits/demand_meter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace laburnumkeel::limits {
+
+namespace {
+
+// Time constants of the exponential averages, in seconds.
+constexpr double kFastSeconds = 0.5;
+constexpr double kSlowSeconds = 3;
+
+}  // namespace
+
+void DemandMeter::Count(kernel::Instant now) {
+  const double elapsed = this->SecondsSince(now);
+  this->fast =
+      this->fast * std::exp(-elapsed / kFastSeconds) + 1 / kFastSeconds;
+  this->slow =
+      this->slow * std::exp(-elapsed / kSlowSeconds) + 1 / kSlowSeconds;
+  this->counted_at = std::max(this->counted_at, now);
+}
+
+double DemandMeter::PerSecond(kernel::Instant now) const {
+  const double elapsed = this->SecondsSince(now);
+  return std::max(this->fast * std::exp(-elapsed / kFastSeconds),
+                  this->slow * std::exp(-elapsed / kSlowSeconds));
+}
+
+double DemandMeter::SecondsSince(kernel::Instant now) const {
+  const std::chrono::duration<double> elapsed = now - this->counted_at;
+  return std::max(0.0, elapsed.count());
+}
+
+}  // namespace laburnumkeel::limits
--- /dev/null
+++ b/src/laburnumkeel/limits/demand_meter.h
@@ -0,0 +1,27 @@
+#ifndef LABURNUMKEEL_LIMITS_DEMAND_METER_H_
+#define LABURNUMKEEL_LIMITS_DEMAND_METER_H_
+
+#include "laburnumkeel/kernel/clock.h"
+
+namespace laburnumkeel::limits {
+
+// Requests a second of one account on one VM. Not thread-safe.
+class DemandMeter {
+ public:
+  void Count(kernel::Instant now);
+
+  // The larger of a fast and a slow moving average: a rise is seen at once,
+  // while a short gap does not give the share away.
+  double PerSecond(kernel::Instant now) const;
+
+ private:
+  double SecondsSince(kernel::Instant now) const;
+
+  double fast = 0;
+  double slow = 0;
+  kernel::Instant counted_at;
+};
+
+}  // namespace laburnumkeel::limits
+
+#endif  // LABURNUMKEEL_LIMITS_DEMAND_METER_H_
--- /dev/null
+++ b/src/laburnumkeel/limits/share_plan.h
@@ -0,0 +1,51 @@
+#ifndef LABURNUMKEEL_LIMITS_SHARE_PLAN_H_
+#define LABURNUMKEEL_LIMITS_SHARE_PLAN_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "laburnumkeel/limits/share_amount.h"
+#include "laburnumkeel/limits/share_ledger.h"
+
+namespace laburnumkeel::limits {
+
+// Splits `capacity` so that the smallest grant is as large as possible and no
+// grant exceeds its wish. Grants are in the order of the wishes.
+std::vector<double> MaxMinFair(double capacity,
+                               const std::vector<double>& wishes);
+
+// Requests a second of one account on one VM that renews its entry.
+struct VmDemand {
+  std::string incarnation;
+  double demand = 0;
+
+  bool operator==(const VmDemand&) const = default;
+};
+
+// What the plan for one account of one VM depends on.
+struct PlanInput {
+  ShareAmount limit;
+  // Held by entries that are no longer renewed; not available until removed.
+  ShareAmount inactive;
+  // Reserve shares of all other entries.
+  ShareAmount other_reserves;
+  // All VMs that renew their entries, this one included.
+  std::vector<VmDemand> active;
+  // Number of VMs among which the reserve is split.
+  std::int64_t fleet_size = 8;
+  // Part of the limit that is kept as reserve shares, 0 to 1.
+  double reserve_fraction = 0.4;
+};
+
+// Fair target of the VM `incarnation`, which must be in `active`. VMs that
+// plan from the same input get targets that add up to at most the limit.
+// In this order: measured demand, a margin for its fluctuation, half the
+// regular reserve for every VM, more headroom, and the rest in equal parts.
+// A VM without demand lends its reserve to others only when they need it.
+AccountShares PlanShares(const PlanInput& input,
+                         const std::string& incarnation);
+
+}  // namespace laburnumkeel::limits
+
+#endif  // LABURNUMKEEL_LIMITS_SHARE_PLAN_H_
--- /dev/null
+++ b/src/laburnumkeel/sessions/byte_reader.h
@@ -0,0 +1,31 @@
+#ifndef LABURNUMKEEL_SESSIONS_BYTE_READER_H_
+#define LABURNUMKEEL_SESSIONS_BYTE_READER_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace laburnumkeel::sessions {
+
+// Reads what ByteWriter wrote. After a read past the end all values are 0 or
+// empty and `IsComplete()` is false.
+class ByteReader {
+ public:
+  // `bytes` must outlive the reader.
+  explicit ByteReader(std::string_view bytes) : bytes(bytes) {}
+
+  std::uint8_t Byte();
+  std::uint64_t Number();
+  std::string Text();
+
+  // True when everything was read and nothing was missing.
+  bool IsComplete() const { return !this->has_failed && this->bytes.empty(); }
+
+ private:
+  std::string_view bytes;
+  bool has_failed = false;
+};
+
+}  // namespace laburnumkeel::sessions
+
+#endif  // LABURNUMKEEL_SESSIONS_BYTE_READER_H_
--- /dev/null
+++ b/src/laburnumkeel/sessions/session_requirement.h
@@ -0,0 +1,36 @@
+#ifndef LABURNUMKEEL_SESSIONS_SESSION_REQUIREMENT_H_
+#define LABURNUMKEEL_SESSIONS_SESSION_REQUIREMENT_H_
+
+#include <string>
+
+#include "laburnumkeel/model/log_position.h"
+#include "laburnumkeel/sessions/session.h"
+
+namespace laburnumkeel::sessions {
+
+enum class RequirementKind {
+  // Any endpoint may serve the read.
+  kNothing,
+  // An endpoint whose log and applied state contain the position.
+  kPosition,
+  // The primary, whose term a majority confirms after the read. Its log must
+  // contain the position as well.
+  kConfirmedPrimary,
+};
+
+// What a session requires of a read in one group.
+struct SessionRequirement {
+  RequirementKind kind = RequirementKind::kNothing;
+  model::LogPosition position;
+
+  bool operator==(const SessionRequirement&) const = default;
+};
+
+// An unsettled group requires a confirmed primary until a session operation
+// settles it; time alone does not.
+SessionRequirement RequirementOf(const Session& session,
+                                 const std::string& group);
+
+}  // namespace laburnumkeel::sessions
+
+#endif  // LABURNUMKEEL_SESSIONS_SESSION_REQUIREMENT_H_
--- /dev/null
+++ b/tests/limits/account_limiter_test.cpp
@@ -0,0 +1,80 @@
+#include "laburnumkeel/limits/account_limiter.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "tests/support/manual_clock.h"
+
+namespace laburnumkeel::limits {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class AccountLimiterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AccountLimiterTest);
+  CPPUNIT_TEST(BothBucketsPayForARequest);
+  CPPUNIT_TEST(ReserveOutlivesDynamicShare);
+  CPPUNIT_TEST(MissingShareIsWithdrawn);
+  CPPUNIT_TEST(RefusedRequestsCountAsDemand);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against an account with a small burst that never passes, because
+  // neither of its two buckets can hold a whole token.
+  void BothBucketsPayForARequest() {
+    this->Apply(ShareAmount{1, 0.7}, ShareAmount{1, 0.3});
+    CPPUNIT_ASSERT(!this->limiter.TryTake("a").is_allowed);
+    this->clock.Advance(seconds(2));
+    CPPUNIT_ASSERT(this->limiter.TryTake("a").is_allowed);
+    CPPUNIT_ASSERT(!this->limiter.TryTake("a").is_allowed);
+  }
+
+  // Guards against an account that is refused in a store outage although its
+  // reserve share is valid, and against a dynamic share that is used then.
+  void ReserveOutlivesDynamicShare() {
+    this->Apply(ShareAmount{100, 10}, ShareAmount{1, 2});
+    this->clock.Advance(seconds(20));
+    CPPUNIT_ASSERT(this->limiter.TryTake("a").is_allowed);
+    CPPUNIT_ASSERT(this->limiter.TryTake("a").is_allowed);
+    CPPUNIT_ASSERT(this->limiter.TryTake("a") ==
+                   (LimitDecision{false, LimitReason::kShareExpired}));
+  }
+
+  // Guards against an account that was removed from the configuration and
+  // goes on spending tokens.
+  void MissingShareIsWithdrawn() {
+    this->Apply(ShareAmount{100, 10}, ShareAmount{1, 2});
+    this->clock.Advance(seconds(2));
+    this->limiter.Apply({});
+    CPPUNIT_ASSERT(this->limiter.TryTake("a") ==
+                   (LimitDecision{false, LimitReason::kNoShare}));
+  }
+
+  // Guards against a VM that gets no share because all its requests are
+  // refused.
+  void RefusedRequestsCountAsDemand() {
+    for (int count = 0; count < 200; ++count) {
+      this->clock.Advance(milliseconds(50));
+      CPPUNIT_ASSERT(!this->limiter.TryTake("a").is_allowed);
+    }
+    const std::vector<AccountDemand> demands = this->limiter.Demand();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, demands.size());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(20, demands[0].demand, 2);
+  }
+
+ private:
+  void Apply(const ShareAmount& dynamic, const ShareAmount& reserve) {
+    const kernel::Instant now = this->clock.Now();
+    this->limiter.Apply(
+        {Share{"a", ShareKind::kDynamic, dynamic, now + seconds(8)},
+         Share{"a", ShareKind::kReserve, reserve, now + seconds(43200)}});
+  }
+
+  testing::ManualClock clock;
+  AccountLimiter<testing::ManualClock> limiter{clock};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AccountLimiterTest);
+
+}  // namespace
+}  // namespace laburnumkeel::limits
