Add routing, promotion and membership decision logic

Ordering statuses by the sending time alone was ruled out: it drops the result of a long poll that was overtaken by a short one.

model::IsContained took a position of a term that the log skipped for an entry of another term at the same position: (6, 50) passed in a log with terms 5 (start 40) and 7 (start 60). A log with entries of a term lists its start, so an unlisted term is now refused.

The lint check reports modernize-use-nullptr on the defaulted comparison of LogPosition as soon as a file uses < or >; that line is exempt.

--- /dev/null
+++ b/src/laburnumkeel/membership/vm_record.h
@@ -0,0 +1,23 @@
+#ifndef LABURNUMKEEL_MEMBERSHIP_VM_RECORD_H_
+#define LABURNUMKEEL_MEMBERSHIP_VM_RECORD_H_
+
+#include <string>
+
+namespace laburnumkeel::membership {
+
+// A VM as the platform's list or the VM itself describes it.
+struct VmRecord {
+  std::string name;
+  std::string data_centre;
+  // `IP:port` of the control and entry programs; may be empty for a VM that is
+  // known only from its own calls.
+  std::string control_address;
+  std::string entry_address;
+  bool departing = false;
+
+  auto operator<=>(const VmRecord&) const = default;
+};
+
+}  // namespace laburnumkeel::membership
+
+#endif  // LABURNUMKEEL_MEMBERSHIP_VM_RECORD_H_
--- a/src/laburnumkeel/model/log_position.cpp
+++ b/src/laburnumkeel/model/log_position.cpp
@@ -12,9 +12,18 @@
   if (terms.empty() || position.term > terms.back().term) {
     return false;
   }
-  return std::all_of(terms.begin(), terms.end(), [&](const TermStart& later) {
-    return later.term <= position.term || position.position <= later.start;
-  });
+  // A log with entries of a term lists its start. A position of an unlisted
+  // term belongs to a primary whose entries this log never got.
+  const bool listed =
+      position.term < terms.front().term ||
+      std::any_of(terms.begin(), terms.end(), [&](const TermStart& start) {
+        return start.term == position.term;
+      });
+  return listed &&
+         std::all_of(terms.begin(), terms.end(), [&](const TermStart& later) {
+           return later.term <= position.term ||
+                  position.position <= later.start;
+         });
 }
 
 }  // namespace laburnumkeel::model
--- a/src/laburnumkeel/model/log_position.h
+++ b/src/laburnumkeel/model/log_position.h
@@ -17,6 +17,8 @@
   Term term = 0;
   std::uint64_t position = 0;
 
+  // The check takes the 0 of a rewritten comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const LogPosition&) const = default;
 };
 
@@ -31,7 +33,7 @@
 
 // True when a log that follows `terms` (ascending) contains `position`, given
 // that the log is long enough. An entry of an earlier term is part of the log
-// only if each later term began at or after it.
+// only if the log lists that term and each later term began at or after it.
 bool IsContained(const LogPosition& position,
                  const std::vector<TermStart>& terms);
 
--- /dev/null
+++ b/src/laburnumkeel/routing/read_router.cpp
@@ -0,0 +1,195 @@
+#include "laburnumkeel/routing/read_router.h"
+
+#include <algorithm>
+#include <optional>
+#include <tuple>
+
+#include "laburnumkeel/routing/write_router.h"
+
+namespace laburnumkeel::routing {
+
+namespace {
+
+const model::EndpointStatus& StatusOf(const MemberState& member) {
+  return member.measurement->status;
+}
+
+// True when the known primary of a later term does not have the replica's last
+// entry. Such a replica still has to discard a part of its log.
+bool IsDiverged(const MemberState& replica, const MemberState* primary) {
+  return primary != nullptr &&
+         StatusOf(*primary).log_end.term > StatusOf(replica).log_end.term &&
+         !model::IsContained(StatusOf(replica).log_end,
+                             StatusOf(*primary).term_starts);
+}
+
+bool SatisfiesSession(const MemberState& replica,
+                      const std::optional<model::LogPosition>& session) {
+  return !session ||
+         (model::IsContained(*session, StatusOf(replica).term_starts) &&
+          StatusOf(replica).applied_position >= session->position);
+}
+
+bool SatisfiesStaleness(const MemberState& replica,
+                        const ReadRequirement& requirement,
+                        kernel::Instant now) {
+  const auto bound = requirement.StalenessBound();
+  return !bound || Staleness(replica, now) <= *bound;
+}
+
+// A member that reports to be a primary without being the newest one reports
+// no staleness, although the group may have moved on: it serves no reads.
+bool MayServeAsReplica(const GroupView& view, const MemberState& member,
+                       const ReadRequirement& requirement,
+                       kernel::Instant now) {
+  return member.measurement &&
+         StatusOf(member).role == model::EndpointRole::kReplica &&
+         view.IsEligible(member.endpoint) &&
+         !IsDiverged(member, view.Primary()) &&
+         SatisfiesSession(member, requirement.session_position) &&
+         SatisfiesStaleness(member, requirement, now);
+}
+
+bool IsResponsive(const MemberState& member, kernel::Instant now) {
+  return now - member.measurement->sent <= ReadRouter::kUnresponsiveAfter;
+}
+
+// A primary that is cut off does not know that its state is old, so a bound on
+// staleness holds only as long as a majority confirmed its term.
+bool NeedsConfirmation(const GroupView& view,
+                       const ReadRequirement& requirement,
+                       kernel::Instant now) {
+  if (requirement.confirmed_primary) {
+    return true;
+  }
+  const auto bound = requirement.StalenessBound();
+  if (!bound) {
+    return false;
+  }
+  const auto confirmed = view.PrimaryConfirmedAt();
+  return !confirmed || now - *confirmed > *bound;
+}
+
+bool IsLost(const GroupView& view,
+            const std::optional<model::LogPosition>& session) {
+  const MemberState* primary = view.Primary();
+  return session && primary != nullptr &&
+         StatusOf(*primary).log_end.term > session->term &&
+         !model::IsContained(*session, StatusOf(*primary).term_starts);
+}
+
+struct RankedCandidate {
+  ReadCandidate candidate;
+  // Unresponsive, primary, remote, place after rotation.
+  std::tuple<bool, bool, bool, std::size_t> rank;
+};
+
+}  // namespace
+
+std::string_view ToString(ReadReason reason) {
+  switch (reason) {
+    case ReadReason::kLocalReplica:
+      return "local_replica";
+    case ReadReason::kRemoteReplica:
+      return "remote_replica";
+    case ReadReason::kUnresponsiveReplica:
+      return "unresponsive_replica";
+    case ReadReason::kPrimaryFallback:
+      return "primary_fallback";
+    case ReadReason::kPrimaryRequired:
+      return "primary_required";
+  }
+  return "primary_fallback";
+}
+
+kernel::Result<std::vector<ReadCandidate>, RoutingError> ReadRouter::Route(
+    const GroupView& view, const ReadRequirement& requirement,
+    std::uint64_t spread, kernel::Instant now) const {
+  if (IsLost(view, requirement.session_position)) {
+    return RoutingError{RoutingFailure::kSessionPositionLost,
+                        "term " + std::to_string(view.PrimaryTerm()) +
+                            " does not contain the session's position"};
+  }
+  std::vector<RankedCandidate> ranked;
+  std::size_t place = 0;
+  for (const MemberState& member : view.Members()) {
+    const std::size_t turn = (place++ + spread) % view.Members().size();
+    if (requirement.confirmed_primary ||
+        !MayServeAsReplica(view, member, requirement, now)) {
+      continue;
+    }
+    const bool responsive = IsResponsive(member, now);
+    const bool local = member.data_centre == this->data_centre;
+    const ReadReason reason = !responsive ? ReadReason::kUnresponsiveReplica
+                              : local     ? ReadReason::kLocalReplica
+                                          : ReadReason::kRemoteReplica;
+    ranked.push_back(
+        RankedCandidate{ReadCandidate{member.endpoint, reason, false},
+                        {!responsive, false, !local, turn}});
+  }
+  const MemberState* primary = view.Primary();
+  if (primary != nullptr && MayReceivePrimaryWork(*primary, now)) {
+    const ReadReason reason = requirement.confirmed_primary
+                                  ? ReadReason::kPrimaryRequired
+                                  : ReadReason::kPrimaryFallback;
+    ranked.push_back(RankedCandidate{
+        ReadCandidate{primary->endpoint, reason,
+                      NeedsConfirmation(view, requirement, now)},
+        {!IsResponsive(*primary, now), true, false, 0}});
+  }
+  if (ranked.empty()) {
+    return RoutingError{primary == nullptr ? RoutingFailure::kNoPrimary
+                                           : RoutingFailure::kNoCandidate,
+                        "no endpoint of group " + view.Name() +
+                            " satisfies the requirement of the read"};
+  }
+  std::sort(ranked.begin(), ranked.end(),
+            [](const RankedCandidate& left, const RankedCandidate& right) {
+              return left.rank < right.rank;
+            });
+  std::vector<ReadCandidate> candidates;
+  for (RankedCandidate& entry : ranked) {
+    candidates.push_back(std::move(entry.candidate));
+  }
+  return candidates;
+}
+
+ReadVerdict CheckReadResponse(const GroupView& view,
+                              const ReadRequirement& requirement,
+                              const std::string& endpoint,
+                              const model::LogPosition& response) {
+  if (!requirement.session_position) {
+    return ReadVerdict::kSufficient;
+  }
+  const model::LogPosition& session = *requirement.session_position;
+  if (response.term < session.term || response.position < session.position) {
+    return ReadVerdict::kInsufficient;
+  }
+  if (response.term == session.term) {
+    return ReadVerdict::kSufficient;
+  }
+  // All logs with an entry of the response's term agree on the starts up to
+  // that term, so any member's list serves.
+  for (const MemberState& member : view.Members()) {
+    if (!member.measurement) {
+      continue;
+    }
+    std::vector<model::TermStart> starts = StatusOf(member).term_starts;
+    std::erase_if(starts, [&](const model::TermStart& start) {
+      return start.term > response.term;
+    });
+    if (starts.empty() || starts.back().term != response.term) {
+      continue;
+    }
+    if (model::IsContained(session, starts)) {
+      return ReadVerdict::kSufficient;
+    }
+    const MemberState* primary = view.Primary();
+    return primary != nullptr && primary->endpoint == endpoint
+               ? ReadVerdict::kPositionLost
+               : ReadVerdict::kInsufficient;
+  }
+  return ReadVerdict::kInsufficient;
+}
+
+}  // namespace laburnumkeel::routing
--- /dev/null
+++ b/src/laburnumkeel/routing/write_router.h
@@ -0,0 +1,37 @@
+#ifndef LABURNUMKEEL_ROUTING_WRITE_ROUTER_H_
+#define LABURNUMKEEL_ROUTING_WRITE_ROUTER_H_
+
+#include <string>
+
+#include "laburnumkeel/kernel/clock.h"
+#include "laburnumkeel/kernel/result.h"
+#include "laburnumkeel/model/log_position.h"
+#include "laburnumkeel/routing/group_view.h"
+#include "laburnumkeel/routing/routing_error.h"
+
+namespace laburnumkeel::routing {
+
+// Time for which a primary that was taken out of service still receives work,
+// so that callers need not wait for its planned promotion. Learning of the
+// change takes up to 2 s more; the sum stays below the bound of 5 s.
+inline constexpr kernel::Duration kDepartureGrace = std::chrono::seconds(2);
+
+// True unless the member has been out of service for `kDepartureGrace`.
+bool MayReceivePrimaryWork(const MemberState& member, kernel::Instant now);
+
+struct WriteTarget {
+  std::string endpoint;
+  // Term that the request must carry.
+  model::Term term = 0;
+
+  bool operator==(const WriteTarget&) const = default;
+};
+
+// The primary for a write. On an error the write may be held back and routed
+// again within its deadline, because nothing was sent.
+kernel::Result<WriteTarget, RoutingError> RouteWrite(const GroupView& view,
+                                                     kernel::Instant now);
+
+}  // namespace laburnumkeel::routing
+
+#endif  // LABURNUMKEEL_ROUTING_WRITE_ROUTER_H_
--- a/tests/model/log_position_test.cpp
+++ b/tests/model/log_position_test.cpp
@@ -10,6 +10,7 @@
   CPPUNIT_TEST(HigherTermNeedNotContainAnEarlierPosition);
   CPPUNIT_TEST(EveryLaterTermMustContainThePosition);
   CPPUNIT_TEST(UnknownTermIsNotContained);
+  CPPUNIT_TEST(SkippedTermIsNotContained);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -31,6 +32,15 @@
     CPPUNIT_ASSERT(!IsContained(LogPosition{6, 1}, {{4, 80}, {5, 100}}));
     CPPUNIT_ASSERT(IsContained(LogPosition{0, 0}, {}));
   }
+
+  // Guards against taking an entry of term 5 for the one that a primary of
+  // term 6 wrote at the same position and never replicated.
+  void SkippedTermIsNotContained() {
+    const std::vector<TermStart> terms{{5, 40}, {7, 60}};
+    CPPUNIT_ASSERT(!IsContained(LogPosition{6, 50}, terms));
+    CPPUNIT_ASSERT(IsContained(LogPosition{5, 60}, terms));
+    CPPUNIT_ASSERT(IsContained(LogPosition{3, 30}, terms));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LogPositionTest);
--- /dev/null
+++ b/tests/promotion/failure_detector_test.cpp
@@ -0,0 +1,113 @@
+#include "laburnumkeel/promotion/failure_detector.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+#include "tests/support/group_view_builder.h"
+#include "tests/support/manual_clock.h"
+
+namespace laburnumkeel::promotion {
+namespace {
+
+using model::EndpointRole;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::StatusOf;
+using Detector = FailureDetector<testing::ManualClock>;
+
+class FailureDetectorTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FailureDetectorTest);
+  CPPUNIT_TEST(SilentPrimaryIsDueByRank);
+  CPPUNIT_TEST(SupersededPrimaryIsNotAlive);
+  CPPUNIT_TEST(WaitsForAnotherPromotion);
+  CPPUNIT_TEST(BacksOffAfterALostRace);
+  CPPUNIT_TEST(OwnPauseIsNotSilence);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against all watchers promoting at once, and against a failover gap
+  // above the planned times.
+  void SilentPrimaryIsDueByRank() {
+    Detector third(this->clock, 2, 1);
+    this->Answer(this->detector, 4);
+    this->Answer(third, 4);
+    CPPUNIT_ASSERT(this->TimeUntilDue(this->detector) == milliseconds(3000));
+    this->Answer(third, 4);
+    CPPUNIT_ASSERT(this->TimeUntilDue(third) == milliseconds(4000));
+    CPPUNIT_ASSERT_EQUAL(model::Term{4}, third.HighestTerm());
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), third.Primary());
+  }
+
+  // Guards against a group that stays without acknowledged writes because a
+  // promoter failed after it sealed one member.
+  void SupersededPrimaryIsNotAlive() {
+    this->Answer(this->detector, 4);
+    this->detector.ObserveTerm(5);
+    int steps = 0;
+    while (!this->detector.IsDue() && steps < 100) {
+      this->Answer(this->detector, 4);
+      this->clock.Advance(milliseconds(100));
+      ++steps;
+    }
+    CPPUNIT_ASSERT_EQUAL(30, steps);
+  }
+
+  // Guards against a second promotion while the first one is in progress.
+  void WaitsForAnotherPromotion() {
+    this->Answer(this->detector, 4);
+    this->TimeUntilDue(this->detector);
+    this->detector.ObserveTerm(5);
+    CPPUNIT_ASSERT(this->TimeUntilDue(this->detector) == milliseconds(1000));
+    this->detector.ObserveTerm(5);
+    CPPUNIT_ASSERT(this->detector.IsDue());
+    this->Answer(this->detector, 5);
+    CPPUNIT_ASSERT(!this->detector.IsDue());
+  }
+
+  // Guards against two promoters that split the members again and again.
+  void BacksOffAfterALostRace() {
+    std::set<milliseconds> delays;
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+      Detector loser(this->clock, 0, seed);
+      this->TimeUntilDue(loser);
+      loser.OnLostRace(0);
+      const milliseconds delay = this->TimeUntilDue(loser);
+      CPPUNIT_ASSERT(delay >= milliseconds(200) && delay <= milliseconds(800));
+      delays.insert(delay);
+    }
+    CPPUNIT_ASSERT(delays.size() > 5);
+  }
+
+  // Guards against a watcher that was suspended and replaces a healthy primary
+  // right after it resumes.
+  void OwnPauseIsNotSilence() {
+    this->Answer(this->detector, 4);
+    this->detector.IsDue();
+    this->clock.Advance(seconds(60));
+    CPPUNIT_ASSERT(!this->detector.IsDue());
+    CPPUNIT_ASSERT(this->TimeUntilDue(this->detector) == milliseconds(3000));
+  }
+
+ private:
+  static void Answer(Detector& detector, model::Term term) {
+    detector.Observe(StatusOf("a", EndpointRole::kPrimary, {{term, 0}}, 1));
+  }
+
+  milliseconds TimeUntilDue(Detector& detector) {
+    milliseconds waited(0);
+    while (!detector.IsDue() && waited < seconds(60)) {
+      this->clock.Advance(milliseconds(10));
+      waited += milliseconds(10);
+    }
+    return waited;
+  }
+
+  testing::ManualClock clock;
+  Detector detector{this->clock, 0, 1};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FailureDetectorTest);
+
+}  // namespace
+}  // namespace laburnumkeel::promotion
