--- a/programs/laburnumkeel-control/configuration_service.h
+++ b/programs/laburnumkeel-control/configuration_service.h
@@ -43,7 +43,7 @@
   const ControlSettings settings;
   FleetState& state;
   PeerCaller& peers;
-  const kernel::BootClock clock;
+  const kernel::BootClock clock{};
   platform::SharedTable table;
   configuration::ConfigurationStore<platform::SharedTable> store;
   platform::VmListClient vm_list;
--- a/programs/laburnumkeel-control/fleet_state.h
+++ b/programs/laburnumkeel-control/fleet_state.h
@@ -83,7 +83,7 @@
 
   const ControlSettings settings;
   const std::string incarnation;
-  const kernel::BootClock clock;
+  const kernel::BootClock clock{};
   configuration::ConfigurationHolder holder;
   configuration::Freshness<kernel::BootClock> freshness;
   configuration::ConfigurationSync<kernel::BootClock> sync;
--- a/programs/laburnumkeel-control/group_watch.h
+++ b/programs/laburnumkeel-control/group_watch.h
@@ -41,7 +41,7 @@
   const ControlSettings settings;
   FleetState& state;
   const model::DatabaseGroup group;
-  const kernel::BootClock clock;
+  const kernel::BootClock clock{};
   EndpointMembers members;
   promotion::FailureDetector<kernel::BootClock> detector;
   promotion::Promoter<EndpointMembers, platform::SharedTable> promoter;
--- a/programs/laburnumkeel-control/peer_caller.cpp
+++ b/programs/laburnumkeel-control/peer_caller.cpp
@@ -27,7 +27,8 @@
 
 void PeerCaller::Signal(const std::string& address, std::uint64_t version,
                         const std::string& own_address) {
-  this->ClientFor(address)->Run(
+  // A lost signal is made up for by the next exchange of states.
+  (void)this->ClientFor(address)->Run(
       [&](peer::generated::ControlPeerClient& control) {
         control.signalVersion(static_cast<std::int64_t>(version), own_address);
         return true;
--- a/programs/laburnumkeel-control/peer_caller.h
+++ b/programs/laburnumkeel-control/peer_caller.h
@@ -33,7 +33,7 @@
   std::shared_ptr<Client> ClientFor(const std::string& address);
 
   FleetState& state;
-  const kernel::BootClock clock;
+  const kernel::BootClock clock{};
   std::mutex mutex;
   std::map<std::string, std::shared_ptr<Client>> clients;
 };
--- a/programs/laburnumkeel-control/share_mailbox.h
+++ b/programs/laburnumkeel-control/share_mailbox.h
@@ -43,7 +43,7 @@
   // Two exchanges with some slack.
   static constexpr std::chrono::milliseconds kConfirmationTime{350};
 
-  const kernel::BootClock clock;
+  const kernel::BootClock clock{};
   const std::string incarnation;
   mutable std::mutex mutex;
   std::condition_variable confirmed;
--- a/programs/laburnumkeel-control/share_service.h
+++ b/programs/laburnumkeel-control/share_service.h
@@ -34,7 +34,7 @@
   FleetState& state;
   ShareMailbox& mailbox;
   platform::SharedTable table;
-  const kernel::BootClock clock;
+  const kernel::BootClock clock{};
   std::mt19937_64 random{std::random_device{}()};
   Round round;
   kernel::Instant next_round;
--- a/programs/laburnumkeel-entry/admission.h
+++ b/programs/laburnumkeel-entry/admission.h
@@ -65,7 +65,7 @@
   const GroupDirectory& groups;
   const sessions::SessionTokenCodec& tokens;
   const kernel::Duration request_timeout;
-  const kernel::BootClock clock;
+  const kernel::BootClock clock{};
 };
 
 }  // namespace laburnumkeel::entry
--- a/programs/laburnumkeel-entry/control_link.cpp
+++ b/programs/laburnumkeel-entry/control_link.cpp
@@ -43,7 +43,8 @@
   this->limiter.Apply({});
   peer::generated::EntryReport report = this->MakeReport();
   report.ended = true;
-  this->client.Run([&](peer::generated::LocalControlClient& control) {
+  // Without this report the shares stay assigned until they expire.
+  (void)this->client.Run([&](peer::generated::LocalControlClient& control) {
     peer::generated::EntryInstructions ignored;
     control.sync(ignored, report);
     return true;
--- a/programs/laburnumkeel-entry/control_link.h
+++ b/programs/laburnumkeel-entry/control_link.h
@@ -43,7 +43,7 @@
   void ApplyConfiguration(const std::string& document);
   void LogReachable(bool is_reachable, const std::string& reason);
 
-  const kernel::BootClock clock;
+  const kernel::BootClock clock{};
   const std::string incarnation;
   AccessGate<kernel::BootClock>& gate;
   limits::AccountLimiter<kernel::BootClock>& limiter;
--- a/programs/laburnumkeel-entry/entry_server.h
+++ b/programs/laburnumkeel-entry/entry_server.h
@@ -62,7 +62,7 @@
   const GroupDirectory& groups;
   const AccessGate<kernel::BootClock>& gate;
   kernel::Metrics& metrics;
-  const kernel::BootClock clock;
+  const kernel::BootClock clock{};
   RequestGate requests;
   std::atomic<bool> leaving = false;
   transport::HttpServer server;
--- a/programs/laburnumkeel-entry/group_runtime.h
+++ b/programs/laburnumkeel-entry/group_runtime.h
@@ -70,7 +70,7 @@
   void UpdateView(Change change);
 
   const endpoints::Origin origin;
-  const kernel::BootClock clock;
+  const kernel::BootClock clock{};
   routing::GroupViewHolder view;
   mutable std::mutex mutex;
   mutable std::condition_variable changed;
--- a/programs/laburnumkeel-entry/read_path.h
+++ b/programs/laburnumkeel-entry/read_path.h
@@ -44,7 +44,7 @@
   const Admission& admission;
   const routing::ReadRouter router;
   kernel::Metrics& metrics;
-  const kernel::BootClock clock;
+  const kernel::BootClock clock{};
   mutable std::atomic<std::uint64_t> spread = 0;
 };
 
--- a/programs/laburnumkeel-entry/retrier.h
+++ b/programs/laburnumkeel-entry/retrier.h
@@ -20,7 +20,7 @@
 
  private:
   kernel::Metrics& metrics;
-  const kernel::BootClock clock;
+  const kernel::BootClock clock{};
   const endpoints::RetryPolicy policy{endpoints::RetryLimits{}};
 };
 
--- a/programs/laburnumkeel-entry/transaction_path.h
+++ b/programs/laburnumkeel-entry/transaction_path.h
@@ -70,7 +70,7 @@
   const sessions::SessionTokenCodec& tokens;
   const WritePath& writes;
   const Retrier& retrier;
-  const kernel::BootClock clock;
+  const kernel::BootClock clock{};
   std::mutex mutex;
   std::map<std::string, Owner> owners;
   Registry registry;
--- a/programs/laburnumkeel-entry/write_path.h
+++ b/programs/laburnumkeel-entry/write_path.h
@@ -34,7 +34,7 @@
 
   const Admission& admission;
   const Retrier& retrier;
-  const kernel::BootClock clock;
+  const kernel::BootClock clock{};
 };
 
 }  // namespace laburnumkeel::entry
