--- a/programs/laburnumkeel-entry/transaction_path.cpp
+++ b/programs/laburnumkeel-entry/transaction_path.cpp
@@ -212,7 +212,8 @@
     }
   }
   for (const auto& [id, owner] : revoked) {
-    this->registry.Abort(id, owner.account, "abort-revoked-key", kAbortTimeout);
+    // A busy transaction stays; its next statement is refused for its key.
+    (void)this->registry.Abort(id, owner.account, "abort-revoked-key", kAbortTimeout);
     this->Forget(id);
   }
 }
