--- a/src/laburnumkeel/endpoints/endpoint_connection.cpp
+++ b/src/laburnumkeel/endpoints/endpoint_connection.cpp
@@ -76,6 +76,8 @@
 
 void EndpointConnection::Close() { this->connection.Close(); }
 
+void EndpointConnection::Interrupt() { this->connection.Interrupt(); }
+
 kernel::Result<transport::HttpResponse, EndpointError>
 EndpointConnection::Exchange(const transport::HttpRequest& request,
                              std::chrono::milliseconds timeout) {
--- a/src/laburnumkeel/endpoints/endpoint_connection.h
+++ b/src/laburnumkeel/endpoints/endpoint_connection.h
@@ -57,6 +57,10 @@
 
   void Close();
 
+  // Ends a call that another thread is in; it fails and the connection is
+  // closed. The only call that another thread may make.
+  void Interrupt();
+
  private:
   EndpointConnection(transport::HttpConnection connection, std::string origin);
 
--- a/src/laburnumkeel/endpoints/endpoint_pool.h
+++ b/src/laburnumkeel/endpoints/endpoint_pool.h
@@ -43,7 +43,8 @@
   const PoolSettings& Settings() const { return this->state->Settings(); }
 
   // Refuses waiting and further requests and closes idle connections; a leased
-  // connection is closed when its lease ends. A second call does nothing.
+  // connection is closed when its lease ends. Takes up to the connect and probe
+  // timeouts while a connection is being opened. A second call does nothing.
   void Close() {
     this->state->Close();
     if (this->opener.joinable()) {
--- a/src/laburnumkeel/endpoints/fair_queue.cpp
+++ b/src/laburnumkeel/endpoints/fair_queue.cpp
@@ -1,7 +1,6 @@
 #include "laburnumkeel/endpoints/fair_queue.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace laburnumkeel::endpoints {
@@ -16,21 +15,33 @@
 }
 
 std::optional<Ticket> FairQueue::Next(kernel::Instant now) {
-  this->TakeExpired(now);
-  if (this->turns.empty()) {
-    return std::nullopt;
+  while (!this->turns.empty()) {
+    const std::string account = std::move(this->turns.front());
+    this->turns.pop_front();
+    const auto requests = this->waiting.find(account);
+    const std::optional<Ticket> ticket = TakeFirst(requests->second, now);
+    if (requests->second.empty()) {
+      this->waiting.erase(requests);
+    } else {
+      this->turns.push_back(account);
+    }
+    if (ticket.has_value()) {
+      return ticket;
+    }
   }
-  const std::string account = std::move(this->turns.front());
-  this->turns.pop_front();
-  const auto requests = this->waiting.find(account);
-  const Ticket ticket = requests->second.front().ticket;
-  requests->second.pop_front();
-  if (requests->second.empty()) {
-    this->waiting.erase(requests);
-  } else {
-    this->turns.push_back(account);
+  return std::nullopt;
+}
+
+std::optional<Ticket> FairQueue::TakeFirst(std::deque<Waiting>& requests,
+                                           kernel::Instant now) {
+  while (!requests.empty()) {
+    const Waiting first = requests.front();
+    requests.pop_front();
+    if (first.deadline > now) {
+      return first.ticket;
+    }
   }
-  return ticket;
+  return std::nullopt;
 }
 
 void FairQueue::Remove(const std::string& account, Ticket ticket) {
@@ -67,8 +78,7 @@
 }
 
 std::vector<Ticket> FairQueue::TakeAll() {
-  return this->TakeExpired(
-      kernel::Instant(kernel::Duration(std::numeric_limits<int64_t>::max())));
+  return this->TakeExpired(kernel::Instant::max());
 }
 
 std::size_t FairQueue::Size() const {
--- a/src/laburnumkeel/endpoints/fair_queue.h
+++ b/src/laburnumkeel/endpoints/fair_queue.h
@@ -45,6 +45,10 @@
     kernel::Instant deadline;
   };
 
+  // The first request whose deadline has not been reached.
+  static std::optional<Ticket> TakeFirst(std::deque<Waiting>& requests,
+                                         kernel::Instant now);
+
   // Waiting requests of each account in order of arrival, none empty.
   std::map<std::string, std::deque<Waiting>> waiting;
   // Accounts with waiting requests; the first is served next.
--- a/src/laburnumkeel/endpoints/pool_settings.h
+++ b/src/laburnumkeel/endpoints/pool_settings.h
@@ -27,11 +27,7 @@
   kernel::Duration maximum_age = std::chrono::minutes(5);
   transport::ConnectionLimits connection_limits;
 
-  bool operator==(const PoolSettings& other) const {
-    return this->endpoint == other.endpoint && this->address == other.address &&
-           this->origin == other.origin &&
-           this->maximum_connections == other.maximum_connections;
-  }
+  bool operator==(const PoolSettings&) const = default;
 
   // Connections that transactions may hold at once. One connection stays free
   // for single statements, so that an account that holds transactions open for
--- a/src/laburnumkeel/transport/http_connection.h
+++ b/src/laburnumkeel/transport/http_connection.h
@@ -15,6 +15,8 @@
 struct ConnectionLimits {
   std::chrono::milliseconds connect_timeout{1000};
   std::size_t maximum_response_bytes = std::size_t{1024} * 1024;
+
+  bool operator==(const ConnectionLimits&) const = default;
 };
 
 // One persistent HTTP/1.1 client connection. It sends each request exactly
--- a/tests/endpoints/endpoint_monitor_test.cpp
+++ b/tests/endpoints/endpoint_monitor_test.cpp
@@ -31,11 +31,12 @@
     const kernel::Instant start = this->clock.Now();
     std::atomic<bool> measured = false;
     std::atomic<kernel::Duration::rep> age = -1;
+    std::atomic<std::uint64_t> position = 0;
     EndpointMonitor<ManualClock> monitor(
         this->Settings("endpoint-1"),
         [&](const model::EndpointStatus& status, kernel::Instant measured_at) {
           if (!measured) {
-            CPPUNIT_ASSERT(status.log_end == (model::LogPosition{3, 7}));
+            position = status.log_end.position;
             age = (measured_at - start).count();
             measured = true;
           }
@@ -46,6 +47,7 @@
     CPPUNIT_ASSERT(WaitUntil([&] { return measured.load(); }));
     monitor.Stop();
     CPPUNIT_ASSERT_EQUAL(kernel::Duration::rep{0}, age.load());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, position.load());
   }
 
   // Guards against a monitor that gives up after a failure.
--- a/tests/endpoints/endpoint_pool_test.cpp
+++ b/tests/endpoints/endpoint_pool_test.cpp
@@ -42,13 +42,15 @@
   void OpensAllConnectionsInAdvanceAndNoMore() {
     Pool pool(this->Settings(3), this->clock);
     CPPUNIT_ASSERT(WaitUntil([&] { return pool.IsWarm(); }));
+    std::atomic<int> refused = 0;
     std::vector<std::thread> threads;
     for (int thread = 0; thread < 8; ++thread) {
       threads.emplace_back([&] {
         for (int round = 0; round < 20; ++round) {
           auto lease = pool.Acquire(this->Request("a"));
-          CPPUNIT_ASSERT(lease.has_value());
-          if (round % 5 == 0) {
+          if (!lease.has_value()) {
+            ++refused;
+          } else if (round % 5 == 0) {
             lease.value().Discard("test");
           }
         }
@@ -57,6 +59,7 @@
     for (std::thread& thread : threads) {
       thread.join();
     }
+    CPPUNIT_ASSERT_EQUAL(0, refused.load());
     CPPUNIT_ASSERT(this->server.MaximumOpenConnections() <= 3);
   }
 
--- /dev/null
+++ b/tests/endpoints/retry_policy_test.cpp
@@ -0,0 +1,97 @@
+#include "laburnumkeel/endpoints/retry_policy.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <string>
+
+namespace laburnumkeel::endpoints {
+namespace {
+
+using std::chrono::milliseconds;
+
+class RetryPolicyTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RetryPolicyTest);
+  CPPUNIT_TEST(NeverRepeatsWhatMayHaveRun);
+  CPPUNIT_TEST(RepeatsTransientRefusalsOnly);
+  CPPUNIT_TEST(OutlastsAPlannedPromotion);
+  CPPUNIT_TEST(RepeatsAtOnceAfterAClosedConnection);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against executing a request twice that may not be repeated, and
+  // against a backoff beyond its limit or the deadline.
+  void NeverRepeatsWhatMayHaveRun() {
+    const bool holds = rc::check([] {
+      const auto attempts = *rc::gen::inRange(1, 60);
+      const auto time_left = *rc::gen::inRange(-1000, 5000);
+      const auto random = *rc::gen::inRange(0, 1000) / 1000.0;
+      const auto may_repeat = *rc::gen::arbitrary<bool>();
+      const RetryDecision decision =
+          RetryPolicy(RetryLimits{})
+              .Decide(
+                  FailedAttempt{model::Outcome::kUnknown, "no_response",
+                                may_repeat, attempts, milliseconds(time_left)},
+                  random);
+      RC_ASSERT(!decision.retry || may_repeat);
+      RC_ASSERT(!decision.retry || decision.backoff < milliseconds(time_left));
+      RC_ASSERT(decision.backoff <= RetryLimits{}.maximum_backoff);
+      RC_ASSERT(!decision.retry || decision.backoff >= milliseconds(2));
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+
+  // Guards against repeating a refusal that no attempt can change.
+  void RepeatsTransientRefusalsOnly() {
+    for (const std::string_view code :
+         {codes::kStaleTerm, codes::kNotPrimary, codes::kNoSlot,
+          codes::kDraining, codes::kConnectFailed, codes::kConnectionClosed,
+          codes::kNoTransactionSlot}) {
+      CPPUNIT_ASSERT_MESSAGE(std::string(code), Decide(code, 1, 1000).retry);
+    }
+    for (const std::string_view code :
+         {codes::kBadStatement, codes::kAccessRevoked, codes::kQueueTimeout,
+          codes::kInvalidText, codes::kTransactionUnknown,
+          codes::kTransactionBusy, codes::kTransactionOfOtherAccount,
+          codes::kTransactionNotOnThisVm}) {
+      CPPUNIT_ASSERT_MESSAGE(std::string(code), !Decide(code, 1, 1000).retry);
+    }
+  }
+
+  // Guards against giving up on a write while a planned promotion refuses
+  // writes, which lasts up to 2 s.
+  void OutlastsAPlannedPromotion() {
+    kernel::Duration waited{0};
+    int attempts = 1;
+    for (; waited < milliseconds(2000); ++attempts) {
+      const RetryDecision decision =
+          Decide(codes::kDraining, attempts, 3000, 0.0);
+      CPPUNIT_ASSERT(decision.retry);
+      waited += decision.backoff;
+    }
+    CPPUNIT_ASSERT(!Decide(codes::kDraining, attempts, 50, 0.0).retry);
+  }
+
+  // Guards against a delay that only a stale kept connection causes, and
+  // against a busy loop when all connections are closed again and again.
+  void RepeatsAtOnceAfterAClosedConnection() {
+    CPPUNIT_ASSERT(Decide(codes::kConnectionClosed, 1, 1000).backoff ==
+                   kernel::Duration(0));
+    CPPUNIT_ASSERT(Decide(codes::kConnectionClosed, 2, 1000).backoff >
+                   kernel::Duration(0));
+  }
+
+ private:
+  static RetryDecision Decide(std::string_view code, int attempts,
+                              int time_left_ms, double random = 0.5) {
+    return RetryPolicy(RetryLimits{})
+        .Decide(FailedAttempt{model::Outcome::kNotRun, std::string(code), false,
+                              attempts, milliseconds(time_left_ms)},
+                random);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RetryPolicyTest);
+
+}  // namespace
+}  // namespace laburnumkeel::endpoints
