Add administration API and operators' command line

A change of one entry is applied again after a conflict only while the value that it replaces is the same, so that no operator undoes another's change unseen.

--- /dev/null
+++ b/programs/laburnumkeel-admin/configuration_edit.cpp
@@ -0,0 +1,154 @@
+#include "programs/laburnumkeel-admin/configuration_edit.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace laburnumkeel::admin {
+
+namespace {
+
+using model::Availability;
+using model::Configuration;
+using EditResult = kernel::Result<Configuration, AdminError>;
+
+// The entry of that name or id, or null.
+template <class Entry>
+auto* FindNamed(std::vector<Entry>& entries, const std::string& name) {
+  const auto entry = std::find_if(
+      entries.begin(), entries.end(),
+      [&](const Entry& candidate) { return candidate.name == name; });
+  return entry == entries.end() ? nullptr : &*entry;
+}
+
+// The endpoint of a configuration, or null.
+model::Endpoint* FindEndpoint(Configuration& configuration,
+                              const std::string& service,
+                              const std::string& group,
+                              const std::string& endpoint) {
+  model::Service* found_service = FindNamed(configuration.services, service);
+  model::DatabaseGroup* found_group =
+      found_service == nullptr ? nullptr
+                               : FindNamed(found_service->groups, group);
+  return found_group == nullptr ? nullptr
+                                : FindNamed(found_group->endpoints, endpoint);
+}
+
+std::string StateText(Availability availability) {
+  return availability == Availability::kIn ? "in" : "out";
+}
+
+// Wraps a change that works on a copy and returns whether its entry exists.
+std::function<EditResult(const Configuration&)> OnCopy(
+    std::string what, std::function<bool(Configuration&)> change) {
+  return [what = std::move(what), change = std::move(change)](
+             const Configuration& configuration) -> EditResult {
+    Configuration changed = configuration;
+    if (!change(changed)) {
+      return NotFound("no " + what);
+    }
+    return changed;
+  };
+}
+
+}  // namespace
+
+ConfigurationEdit GrantKey(std::string account, model::KeyHash key) {
+  return ConfigurationEdit{
+      OnCopy("client account '" + account + "'",
+             [account, key = std::move(key)](Configuration& configuration) {
+               model::ClientAccount* entry =
+                   FindNamed(configuration.client_accounts, account);
+               if (entry != nullptr) {
+                 entry->keys.push_back(key);
+               }
+               return entry != nullptr;
+             }),
+      // A new key replaces nothing.
+      [](const Configuration&) { return std::string(); }};
+}
+
+ConfigurationEdit RevokeKey(std::string account, std::string key_id) {
+  const auto has_id = [key_id](const model::KeyHash& key) {
+    return key.id == key_id;
+  };
+  return ConfigurationEdit{
+      OnCopy("key '" + key_id + "' of client account '" + account + "'",
+             [account, has_id](Configuration& configuration) {
+               model::ClientAccount* entry =
+                   FindNamed(configuration.client_accounts, account);
+               return entry != nullptr &&
+                      std::erase_if(entry->keys, has_id) > 0;
+             }),
+      // `apply` itself fails when the key is no longer there.
+      [](const Configuration&) { return std::string(); }};
+}
+
+ConfigurationEdit SetAccountLimits(std::string account,
+                                   std::optional<double> rate,
+                                   std::optional<double> burst) {
+  return ConfigurationEdit{
+      OnCopy("client account '" + account + "'",
+             [account, rate, burst](Configuration& configuration) {
+               model::ClientAccount* entry =
+                   FindNamed(configuration.client_accounts, account);
+               if (entry != nullptr) {
+                 entry->rate = rate.value_or(entry->rate);
+                 entry->burst = burst.value_or(entry->burst);
+               }
+               return entry != nullptr;
+             }),
+      [account](const Configuration& configuration) {
+        Configuration copy = configuration;
+        const model::ClientAccount* entry =
+            FindNamed(copy.client_accounts, account);
+        return entry == nullptr ? ""
+                                : std::to_string(entry->rate) + "/" +
+                                      std::to_string(entry->burst);
+      }};
+}
+
+ConfigurationEdit SetDataCentreState(std::string data_centre,
+                                     Availability availability) {
+  return ConfigurationEdit{
+      OnCopy("data centre '" + data_centre + "'",
+             [data_centre, availability](Configuration& configuration) {
+               model::DataCentre* entry =
+                   FindNamed(configuration.data_centres, data_centre);
+               if (entry != nullptr) {
+                 entry->availability = availability;
+               }
+               return entry != nullptr;
+             }),
+      [data_centre](const Configuration& configuration) {
+        Configuration copy = configuration;
+        const model::DataCentre* entry =
+            FindNamed(copy.data_centres, data_centre);
+        return entry == nullptr ? "" : StateText(entry->availability);
+      }};
+}
+
+ConfigurationEdit SetEndpointState(std::string service, std::string group,
+                                   std::string endpoint,
+                                   Availability availability) {
+  return ConfigurationEdit{
+      OnCopy(
+          "endpoint '" + endpoint + "' in group '" + group + "' of service '" +
+              service + "'",
+          [service, group, endpoint, availability](Configuration& candidate) {
+            model::Endpoint* entry =
+                FindEndpoint(candidate, service, group, endpoint);
+            if (entry != nullptr) {
+              entry->availability = availability;
+            }
+            return entry != nullptr;
+          }),
+      [service, group, endpoint](const Configuration& configuration) {
+        Configuration copy = configuration;
+        const model::Endpoint* entry =
+            FindEndpoint(copy, service, group, endpoint);
+        return entry == nullptr ? "" : StateText(entry->availability);
+      }};
+}
+
+}  // namespace laburnumkeel::admin
--- /dev/null
+++ b/programs/laburnumkeel-admin/configuration_edit.h
@@ -0,0 +1,39 @@
+#ifndef LABURNUMKEEL_PROGRAMS_ADMIN_CONFIGURATION_EDIT_H_
+#define LABURNUMKEEL_PROGRAMS_ADMIN_CONFIGURATION_EDIT_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "laburnumkeel/kernel/result.h"
+#include "laburnumkeel/model/configuration.h"
+#include "programs/laburnumkeel-admin/admin_error.h"
+
+namespace laburnumkeel::admin {
+
+// A change of one entry of the configuration.
+struct ConfigurationEdit {
+  // The configuration after the change, or why the change does not apply.
+  std::function<kernel::Result<model::Configuration, AdminError>(
+      const model::Configuration&)>
+      apply;
+  // The value that the change replaces, as text. A change may be applied again
+  // on a newer version only while this value is the same.
+  std::function<std::string(const model::Configuration&)> precondition;
+};
+
+ConfigurationEdit GrantKey(std::string account, model::KeyHash key);
+ConfigurationEdit RevokeKey(std::string account, std::string key_id);
+// Absent values stay as they are.
+ConfigurationEdit SetAccountLimits(std::string account,
+                                   std::optional<double> rate,
+                                   std::optional<double> burst);
+ConfigurationEdit SetDataCentreState(std::string data_centre,
+                                     model::Availability availability);
+ConfigurationEdit SetEndpointState(std::string service, std::string group,
+                                   std::string endpoint,
+                                   model::Availability availability);
+
+}  // namespace laburnumkeel::admin
+
+#endif  // LABURNUMKEEL_PROGRAMS_ADMIN_CONFIGURATION_EDIT_H_
--- /dev/null
+++ b/programs/laburnumkeel-ctl/admin_client.h
@@ -0,0 +1,48 @@
+#ifndef LABURNUMKEEL_PROGRAMS_CTL_ADMIN_CLIENT_H_
+#define LABURNUMKEEL_PROGRAMS_CTL_ADMIN_CLIENT_H_
+
+#include <string>
+
+#include "laburnumkeel/kernel/result.h"
+#include "laburnumkeel/transport/http_client.h"
+
+namespace laburnumkeel::ctl {
+
+// Why a call was refused or failed, as lines for the operator.
+struct CallError {
+  std::string description;
+
+  bool operator==(const CallError&) const = default;
+};
+
+// Calls the administration API of one VM.
+class AdminClient {
+ public:
+  // `address` is `IP:port`, `secret` the administrator secret.
+  AdminClient(const std::string& address, std::string secret);
+
+  // The body of a success.
+  kernel::Result<std::string, CallError> Call(const std::string& method,
+                                              const std::string& target,
+                                              const std::string& body);
+
+  // As `Call`, for calls that may be repeated: a lost response is asked again.
+  kernel::Result<std::string, CallError> CallRepeatedly(
+      const std::string& method, const std::string& target,
+      const std::string& body);
+
+ private:
+  transport::HttpRequest Request(const std::string& method,
+                                 const std::string& target,
+                                 const std::string& body) const;
+
+  transport::HttpClient client;
+  const std::string secret;
+};
+
+// The lines of an error response: code, message and faults.
+std::string DescribeError(const transport::HttpResponse& response);
+
+}  // namespace laburnumkeel::ctl
+
+#endif  // LABURNUMKEEL_PROGRAMS_CTL_ADMIN_CLIENT_H_
--- a/src/laburnumkeel/configuration/validation.cpp
+++ b/src/laburnumkeel/configuration/validation.cpp
@@ -1,13 +1,13 @@
 #include "laburnumkeel/configuration/validation.h"
 
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
-#include <charconv>
 #include <cmath>
 #include <map>
 #include <set>
 #include <utility>
 
+#include "laburnumkeel/configuration/address.h"
+
 namespace laburnumkeel::configuration {
 
 namespace {
@@ -32,20 +32,6 @@
          std::all_of(text.begin(), text.end(), IsNameCharacter);
 }
 
-bool IsAddress(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    return false;
-  }
-  boost::system::error_code error;
-  boost::asio::ip::make_address(text.substr(0, colon), error);
-  int port = 0;
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-  return !error && parsed.ec == std::errc() && parsed.ptr == end && port >= 1 &&
-         port <= 65535;
-}
-
 bool IsHexadecimal(const std::string& text) {
   return std::all_of(text.begin(), text.end(), [](char c) {
     return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
--- /dev/null
+++ b/tests/admin/link.cmake
@@ -0,0 +1,1 @@
+set(extra_libraries laburnumkeel_admin_program laburnumkeel_ctl_program)
