Run the whole path: callers, entry, control, administration, endpoints

The demonstration starts a deployment on loopback. Requests in the first second after the start are still refused with no_share, because readiness does not wait for shares.

--- a/programs/laburnumkeel-entry/transaction_path.cpp
+++ b/programs/laburnumkeel-entry/transaction_path.cpp
@@ -213,7 +213,8 @@
   }
   for (const auto& [id, owner] : revoked) {
     // A busy transaction stays; its next statement is refused for its key.
-    (void)this->registry.Abort(id, owner.account, "abort-revoked-key", kAbortTimeout);
+    (void)this->registry.Abort(id, owner.account, "abort-revoked-key",
+                               kAbortTimeout);
     this->Forget(id);
   }
 }
--- a/standins/standin-fleet/fleet.cpp
+++ b/standins/standin-fleet/fleet.cpp
@@ -99,30 +99,32 @@
   const std::string centre = DataCentreName(DataCentreOfVm(vm));
   const auto program = [&](const std::string& binary,
                            std::vector<std::string> settings) {
-    std::vector<std::string> command{this->binaries + "/" + binary,
-                                     "--vm=" + name, "--data-centre=" + centre};
-    command.insert(command.end(), settings.begin(), settings.end());
-    return ChildProcess(command, this->LogPath(name + "-" + binary));
+    settings.insert(settings.begin(), this->binaries + "/" + binary);
+    return ChildProcess(settings, this->LogPath(name + "-" + binary));
   };
-  const std::string control =
-      "--control=" + VmAddress(this->deployment, vm, kLocalPort);
+  const std::string own_name = "--vm=" + name;
+  const std::string own_centre = "--data-centre=" + centre;
+  const std::string control = VmAddress(this->deployment, vm, kLocalPort);
   this->vms.erase(vm);
   this->vms.emplace(
       vm,
       VmProcesses{
           program(
               "laburnumkeel-control",
-              {"--peer-listen=" + VmAddress(this->deployment, vm, kPeerPort),
-               "--local-listen=" + VmAddress(this->deployment, vm, kLocalPort),
+              {own_name, own_centre,
+               "--peer-listen=" + VmAddress(this->deployment, vm, kPeerPort),
+               "--local-listen=" + control,
                "--platform=" +
                    PlatformAddress(this->deployment, kServicePort)}),
-          program(
-              "laburnumkeel-admin",
-              {"--listen=" + VmAddress(this->deployment, vm, kAdminPort),
-               control, std::string("--admin-secret=") + kAdministratorSecret}),
+          program("laburnumkeel-admin",
+                  {"--listen=" + VmAddress(this->deployment, vm, kAdminPort),
+                   "--control-address=" + control,
+                   std::string("--admin-secret=") + kAdministratorSecret}),
           program("laburnumkeel-entry",
-                  {"--listen=" + VmAddress(this->deployment, vm, kEntryPort),
-                   control, std::string("--fleet-secret=") + kFleetSecret})});
+                  {own_name, own_centre,
+                   "--listen=" + VmAddress(this->deployment, vm, kEntryPort),
+                   "--control=" + control,
+                   std::string("--fleet-secret=") + kFleetSecret})});
 }
 
 bool Fleet::Start() {
