Fail readiness until the VM's buckets had a second to fill

Cause: the entry program was ready as soon as its pools were warm, and refused requests with no_share for about 1.5 s until the first ledger rounds. Offers with shares of rate 0 do not count as shares.

--- a/programs/laburnumkeel-entry/control_link.cpp
+++ b/programs/laburnumkeel-entry/control_link.cpp
@@ -1,5 +1,6 @@
 #include "programs/laburnumkeel-entry/control_link.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "laburnumkeel/kernel/event_log.h"
@@ -13,6 +14,7 @@
 
 constexpr std::chrono::milliseconds kExchangeInterval{100};
 constexpr std::chrono::milliseconds kExchangeTimeout{1000};
+constexpr kernel::Duration kFillTime = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -123,6 +125,17 @@
         sent + std::chrono::milliseconds(share.lifetime_ms)});
   }
   this->limiter.Apply(shares);
+  const bool has_shares = std::any_of(
+      shares.begin(), shares.end(),
+      [](const limits::Share& share) { return share.amount.rate > 0; });
+  const auto current = this->configuration.Current();
+  const bool needs_shares = !current->client_accounts.empty();
+  if (!this->shares_since.has_value() && (has_shares || !needs_shares) &&
+      current->version > 0) {
+    this->shares_since = sent;
+  }
+  this->filled = this->filled || (this->shares_since.has_value() &&
+                                  sent - *this->shares_since >= kFillTime);
   this->applied_offer = instructions.offer;
   this->control_incarnation = instructions.control_incarnation;
 }
--- a/programs/laburnumkeel-entry/control_link.h
+++ b/programs/laburnumkeel-entry/control_link.h
@@ -1,7 +1,9 @@
 #ifndef LABURNUMKEEL_PROGRAMS_ENTRY_CONTROL_LINK_H_
 #define LABURNUMKEEL_PROGRAMS_ENTRY_CONTROL_LINK_H_
 
+#include <atomic>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "laburnumkeel/configuration/configuration_holder.h"
@@ -33,6 +35,10 @@
   bool Start() override;
   void Stop() override;
 
+  // True once this VM has held shares for long enough that its buckets, which
+  // start empty, admit requests. Stays true.
+  bool HasFilledShares() const { return this->filled; }
+
  private:
   void Exchange();
   peer::generated::EntryReport MakeReport();
@@ -54,6 +60,8 @@
   std::int64_t applied_offer = 0;
   std::string control_incarnation;
   bool reachable = true;
+  std::optional<kernel::Instant> shares_since;
+  std::atomic<bool> filled = false;
   kernel::PeriodicTask task;
 };
 
--- a/programs/laburnumkeel-entry/entry_server.cpp
+++ b/programs/laburnumkeel-entry/entry_server.cpp
@@ -5,6 +5,7 @@
 
 #include "laburnumkeel/kernel/event_log.h"
 #include "programs/laburnumkeel-entry/caller_response.h"
+#include "programs/laburnumkeel-entry/control_link.h"
 #include "programs/laburnumkeel-entry/events.h"
 
 namespace laburnumkeel::entry {
@@ -45,7 +46,7 @@
                          TransactionPath& transactions,
                          const GroupDirectory& groups,
                          const AccessGate<kernel::BootClock>& gate,
-                         kernel::Metrics& metrics)
+                         kernel::Metrics& metrics, const kernel::Kernel& kernel)
     : settings(settings),
       admission(admission),
       tokens(tokens),
@@ -55,6 +56,7 @@
       groups(groups),
       gate(gate),
       metrics(metrics),
+      kernel(kernel),
       server(settings.listen, LimitsOf(settings)) {
   this->AddRoutes();
 }
@@ -76,8 +78,10 @@
 }
 
 bool EntryServer::IsReady() const {
-  return !this->leaving && this->gate.HasConfiguration() &&
-         this->groups.IsReady();
+  // The link is registered after this server, hence the look-up by name.
+  const auto* link = this->kernel.Find<ControlLink>(ControlLink::kName);
+  return !this->leaving && link != nullptr && link->HasFilledShares() &&
+         this->gate.HasConfiguration() && this->groups.IsReady();
 }
 
 void EntryServer::AddRoutes() {
--- a/programs/laburnumkeel-entry/entry_server.h
+++ b/programs/laburnumkeel-entry/entry_server.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <string>
 
+#include "laburnumkeel/kernel/kernel.h"
 #include "laburnumkeel/kernel/metrics.h"
 #include "laburnumkeel/kernel/service.h"
 #include "laburnumkeel/transport/http_server.h"
@@ -29,7 +30,7 @@
               WritePath& writes, TransactionPath& transactions,
               const GroupDirectory& groups,
               const AccessGate<kernel::BootClock>& gate,
-              kernel::Metrics& metrics);
+              kernel::Metrics& metrics, const kernel::Kernel& kernel);
 
   bool Start() override;
   void Stop() override;
@@ -62,6 +63,7 @@
   const GroupDirectory& groups;
   const AccessGate<kernel::BootClock>& gate;
   kernel::Metrics& metrics;
+  const kernel::Kernel& kernel;
   const kernel::BootClock clock{};
   RequestGate requests;
   std::atomic<bool> leaving = false;
--- a/programs/laburnumkeel-entry/main.cpp
+++ b/programs/laburnumkeel-entry/main.cpp
@@ -61,7 +61,7 @@
       entry::EntryServer::kName,
       std::make_unique<entry::EntryServer>(
           settings, path.admission, path.tokens, path.reads, path.writes,
-          path.transactions, groups, path.gate, path.metrics));
+          path.transactions, groups, path.gate, path.metrics, kernel));
   kernel.Register(entry::ControlLink::kName,
                   std::make_unique<entry::ControlLink>(
                       settings.control, path.gate, path.limiter, groups,
