Test the stand-ins

The product's tests rely on the stand-ins' log rules and faults, so a fault that has another effect than its name says would hide faults of the product.

Delays are bounded now: a negative number became an unbounded wait.

--- a/standins/common/fault.cpp
+++ b/standins/common/fault.cpp
@@ -25,6 +25,9 @@
     {FaultMode::kOversizedAnswer, "oversized_answer"},
 }};
 
+// Longer delays than any test needs; the bound keeps them within poll's range.
+constexpr std::int64_t kMaximumDelayMs = 600000;
+
 bool HasField(FaultMode mode, std::string_view field) {
   if (field == "mode") {
     return true;
@@ -58,8 +61,11 @@
   Fault fault;
   fault.mode = mode->first;
   if (HasField(fault.mode, "milliseconds")) {
-    fault.delay = std::chrono::milliseconds(
-        document.at("milliseconds").get<std::uint32_t>());
+    const auto milliseconds = document.at("milliseconds").get<std::int64_t>();
+    if (milliseconds < 0 || milliseconds > kMaximumDelayMs) {
+      return std::nullopt;
+    }
+    fault.delay = std::chrono::milliseconds(milliseconds);
   }
   if (fault.mode == FaultMode::kFreeze) {
     const auto scope = document.at("scope").get<std::string>();
--- a/standins/common/fault.h
+++ b/standins/common/fault.h
@@ -40,7 +40,7 @@
 // A fault to inject, as posted to `/faults`.
 struct Fault {
   FaultMode mode = FaultMode::kNone;
-  // For `slow` and `late_answer`.
+  // For `slow` and `late_answer`; at most 600,000 ms.
   std::chrono::milliseconds delay{0};
   // For `freeze`: false silences the connections that are open now, for good;
   // true silences all connections until the fault ends.
@@ -63,8 +63,8 @@
 
 nlohmann::json ToJson(const Fault& fault);
 
-// Empty for malformed JSON, an unknown mode or field, a wrong type, or a field
-// that the mode does not have.
+// Empty for malformed JSON, an unknown mode or field, a wrong type or range, or
+// a field that the mode does not have.
 std::optional<Fault> ParseFault(std::string_view text);
 
 }  // namespace laburnumkeel::standins
--- a/standins/standin-endpoint/member_calls.cpp
+++ b/standins/standin-endpoint/member_calls.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::int64_t kMaximumWaitMs = 10000;
+constexpr std::int64_t kMaximumDrainMs = 600000;
 
 // Clients may read the status from the field or from the top level.
 nlohmann::json WithStatus(const model::EndpointStatus& status) {
@@ -68,8 +69,12 @@
   }
   if (path == "/v1/drain") {
     const auto body = nlohmann::json::parse(request.body);
-    this->database.Drain(std::chrono::milliseconds(
-        body.at("milliseconds").get<std::uint32_t>()));
+    const auto milliseconds = body.at("milliseconds").get<std::int64_t>();
+    if (milliseconds < 0 || milliseconds > kMaximumDrainMs) {
+      return JsonResponse(400,
+                          {{"error", "milliseconds: allowed 0 to 600000"}});
+    }
+    this->database.Drain(std::chrono::milliseconds(milliseconds));
     return JsonResponse(200, WithStatus(this->database.Status()));
   }
   return JsonResponse(404, {{"error", "no such call"}});
--- /dev/null
+++ b/tests/standins/link.cmake
@@ -0,0 +1,1 @@
+set(extra_libraries standin_endpoint_program standin_platform_program)
