--- a/src/laburnumkeel/limits/account_limiter.h
+++ b/src/laburnumkeel/limits/account_limiter.h
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "laburnumkeel/kernel/clock.h"
-#include "laburnumkeel/limits/account_buckets.h"
 #include "laburnumkeel/limits/account_demand.h"
+#include "laburnumkeel/limits/account_usage.h"
 #include "laburnumkeel/limits/limit_decision.h"
 #include "laburnumkeel/limits/share.h"
 
@@ -37,14 +37,11 @@
     const std::lock_guard lock(this->mutex);
     const kernel::Instant now = this->clock.Now();
     for (const Share& share : shares) {
-      this->accounts[share.account].Apply(share, now);
+      this->accounts[share.account];
     }
-    for (auto& [account, buckets] : this->accounts) {
-      for (const ShareKind kind : {ShareKind::kDynamic, ShareKind::kReserve}) {
-        if (!Contains(shares, account, kind)) {
-          buckets.Remove(kind, now);
-        }
-      }
+    for (auto& [account, usage] : this->accounts) {
+      usage.Apply(Find(shares, account, ShareKind::kDynamic),
+                  Find(shares, account, ShareKind::kReserve), now);
     }
     this->RemoveIdle(shares, now);
   }
@@ -54,18 +51,21 @@
     const std::lock_guard lock(this->mutex);
     const kernel::Instant now = this->clock.Now();
     std::vector<AccountDemand> demands;
-    for (const auto& [account, buckets] : this->accounts) {
-      demands.push_back(AccountDemand{account, buckets.Demand(now)});
+    for (const auto& [account, usage] : this->accounts) {
+      demands.push_back(AccountDemand{account, usage.Demand(now)});
     }
     return demands;
   }
 
  private:
-  static bool Contains(const std::vector<Share>& shares,
-                       const std::string& account, ShareKind kind) {
-    return std::any_of(shares.begin(), shares.end(), [&](const Share& share) {
-      return share.account == account && share.kind == kind;
-    });
+  static LeasedAmount Find(const std::vector<Share>& shares,
+                           const std::string& account, ShareKind kind) {
+    const auto share =
+        std::find_if(shares.begin(), shares.end(), [&](const Share& candidate) {
+          return candidate.account == account && candidate.kind == kind;
+        });
+    return share == shares.end() ? LeasedAmount{}
+                                 : LeasedAmount{share->amount, share->expiry};
   }
 
   // Bounds the memory by the accounts of the configuration.
@@ -82,7 +82,7 @@
 
   ClockType clock;
   std::mutex mutex;
-  std::map<std::string, AccountBuckets> accounts;
+  std::map<std::string, AccountUsage> accounts;
 };
 
 }  // namespace laburnumkeel::limits
--- a/src/laburnumkeel/limits/ledger_round.h
+++ b/src/laburnumkeel/limits/ledger_round.h
@@ -1,6 +1,7 @@
 #ifndef LABURNUMKEEL_LIMITS_LEDGER_ROUND_H_
 #define LABURNUMKEEL_LIMITS_LEDGER_ROUND_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -86,17 +87,16 @@
     return this->Finish(this->Update(view, limits, version));
   }
 
-  // True when demand has changed so much since the last written entry that a
+  // True when demand has moved so far since the last written entry that a
   // round should follow without delay (but see kShortestRound).
   bool NeedsEarlyRound(const std::vector<AccountDemand>& demands) const {
-    for (const AccountDemand& demand : demands) {
-      const AccountShares written =
-          SharesOf(this->attempts.Committed(), demand.account);
-      if (IsMoved(demand.demand, written)) {
-        return true;
-      }
-    }
-    return false;
+    return std::any_of(
+        demands.begin(), demands.end(), [this](const AccountDemand& demand) {
+          const auto limit = this->limits_in_demand.find(demand.account);
+          return limit != this->limits_in_demand.end() &&
+                 IsMoved(demand.demand, limit->second,
+                         SharesOf(this->attempts.Committed(), demand.account));
+        });
   }
 
   // Gives up all shares before a graceful shutdown. Returns kCommitted when
@@ -141,11 +141,14 @@
   using CommitResult =
       kernel::Result<platform::TransactionResult, platform::PlatformError>;
 
-  static bool IsMoved(double demand, const AccountShares& written) {
+  // A tenth of the limit is more than the usual fluctuation of demand.
+  static bool IsMoved(double demand, const ShareAmount& limit,
+                      const AccountShares& written) {
     const double rate = Total(written).rate;
-    const bool is_raised = demand > rate && demand > written.demand * 1.1;
-    const bool is_lowered = demand + rate / 4 < written.demand;
-    return is_raised || is_lowered;
+    const double rise = demand - written.demand;
+    const bool lacks_tokens = demand > rate && rise > limit.rate / 10;
+    const bool has_spare_tokens = demand < rate && -rise > limit.rate / 10;
+    return lacks_tokens || has_spare_tokens;
   }
 
   // Reads the ledger and takes in what it says about this VM's writes.
@@ -200,7 +203,7 @@
       this->LogChanges(view, offered);
       this->Offer(offered, this->attempts.LeaseStart());
     }
-    this->RememberExceeded(view, accounts);
+    this->Remember(view, next, limits);
     return RoundReport{outcome, view.IsShort(next)};
   }
 
@@ -282,12 +285,16 @@
     return accounts;
   }
 
-  void RememberExceeded(const RoundView& view,
-                        const std::set<std::string>& accounts) {
+  void Remember(const RoundView& view, const ShareLedger& next,
+                const FleetLimits& limits) {
     this->exceeded.clear();
-    for (const std::string& account : accounts) {
-      if (view.IsExceeded(account)) {
-        this->exceeded.insert(account);
+    this->limits_in_demand.clear();
+    for (const AccountLimit& limit : limits.accounts) {
+      if (view.IsExceeded(limit.account)) {
+        this->exceeded.insert(limit.account);
+      }
+      if (DemandOf(next, limit.account) <= limit.limit.rate) {
+        this->limits_in_demand[limit.account] = limit.limit;
       }
     }
   }
@@ -384,6 +391,8 @@
   SharesByAccount offered;
   // Accounts whose limit was exceeded in the ledger of the last round.
   std::set<std::string> exceeded;
+  // Limits of the accounts whose demand was within them in the last round.
+  std::map<std::string, ShareAmount> limits_in_demand;
   std::uint64_t sequence = 0;
   bool is_released = false;
   bool is_failing = false;
--- a/src/laburnumkeel/limits/round_view.cpp
+++ b/src/laburnumkeel/limits/round_view.cpp
@@ -72,14 +72,13 @@
   return std::any_of(
       this->limits.accounts.begin(), this->limits.accounts.end(),
       [&](const AccountLimit& limit) {
-        double demand = 0;
-        bool is_short = false;
-        for (const LedgerEntry& entry : next.entries) {
-          const AccountShares shares = SharesOf(entry, limit.account);
-          demand += shares.demand;
-          is_short = is_short || shares.demand > Total(shares).rate;
-        }
-        return is_short && demand <= limit.limit.rate;
+        return DemandOf(next, limit.account) <= limit.limit.rate &&
+               std::any_of(next.entries.begin(), next.entries.end(),
+                           [&](const LedgerEntry& entry) {
+                             const AccountShares shares =
+                                 SharesOf(entry, limit.account);
+                             return shares.demand > Total(shares).rate;
+                           });
       });
 }
 
--- a/src/laburnumkeel/limits/share_ledger.cpp
+++ b/src/laburnumkeel/limits/share_ledger.cpp
@@ -22,6 +22,14 @@
   return sum;
 }
 
+double DemandOf(const ShareLedger& ledger, const std::string& account) {
+  double sum = 0;
+  for (const LedgerEntry& entry : ledger.entries) {
+    sum += SharesOf(entry, account).demand;
+  }
+  return sum;
+}
+
 bool IsWithinLimits(const ShareLedger& ledger,
                     const std::vector<AccountLimit>& limits) {
   std::map<std::string, ShareAmount> allowed;
--- a/src/laburnumkeel/limits/share_ledger.h
+++ b/src/laburnumkeel/limits/share_ledger.h
@@ -54,6 +54,9 @@
 // Sum of all shares of an account, dynamic and reserve.
 ShareAmount TotalOf(const ShareLedger& ledger, const std::string& account);
 
+// Requests a second that callers of an account ask of all VMs.
+double DemandOf(const ShareLedger& ledger, const std::string& account);
+
 // True when no account's shares add up to more than its limit, up to rounding
 // errors of 1e-9. An account without a limit may have no shares.
 bool IsWithinLimits(const ShareLedger& ledger,
--- a/src/laburnumkeel/limits/token_bucket.cpp
+++ b/src/laburnumkeel/limits/token_bucket.cpp
@@ -4,41 +4,73 @@
 
 namespace laburnumkeel::limits {
 
-void TokenBucket::Apply(const ShareAmount& new_amount,
-                        kernel::Instant new_expiry, kernel::Instant now) {
-  // The time up to now is credited at the old rate, and not at all if the old
-  // share expired in between: another VM may have used it since.
+namespace {
+
+// The sum of two capacities that were split from one token may be a rounding
+// error below it.
+constexpr double kOneToken = 1 - 1e-9;
+
+}  // namespace
+
+void TokenBucket::Apply(const LeasedAmount& new_dynamic,
+                        const LeasedAmount& new_reserve, kernel::Instant now) {
+  // The time up to now is credited with the old shares, and not at all where
+  // they had expired: another VM may have used them since.
   this->Refill(now);
-  this->amount = new_amount;
-  this->expiry = new_expiry;
-  this->tokens = std::min(this->tokens, new_amount.burst);
+  this->dynamic = new_dynamic;
+  this->reserve = new_reserve;
+  this->tokens = std::min(this->tokens, this->ValidAt(now).burst);
 }
 
-double TokenBucket::Available(kernel::Instant now) {
+bool TokenBucket::TryTake(kernel::Instant now) {
   this->Refill(now);
-  return this->tokens;
+  if (this->tokens < kOneToken) {
+    return false;
+  }
+  this->tokens = std::max(0.0, this->tokens - 1);
+  return true;
 }
 
-double TokenBucket::Take(double tokens, kernel::Instant now) {
+double TokenBucket::Available(kernel::Instant now) {
   this->Refill(now);
-  const double taken = std::min(tokens, this->tokens);
-  this->tokens -= taken;
-  return taken;
+  return this->tokens;
 }
 
 void TokenBucket::Refill(kernel::Instant now) {
-  if (this->IsExpired(now)) {
-    this->tokens = 0;
-    this->refilled_at = now;
+  if (now <= this->refilled_at) {
     return;
   }
-  if (now <= this->refilled_at) {
+  // Each expiry in between ends a stretch of constant rate and capacity.
+  const kernel::Instant first =
+      std::min(this->dynamic.expiry, this->reserve.expiry);
+  const kernel::Instant second =
+      std::max(this->dynamic.expiry, this->reserve.expiry);
+  for (const kernel::Instant end :
+       {std::min(first, now), std::min(second, now), now}) {
+    this->RefillUntil(end);
+  }
+  this->tokens = std::min(this->tokens, this->ValidAt(now).burst);
+}
+
+void TokenBucket::RefillUntil(kernel::Instant end) {
+  if (end <= this->refilled_at) {
     return;
   }
-  const std::chrono::duration<double> elapsed = now - this->refilled_at;
-  this->tokens = std::min(this->amount.burst,
-                          this->tokens + this->amount.rate * elapsed.count());
-  this->refilled_at = now;
+  const ShareAmount valid = this->ValidAt(this->refilled_at);
+  const std::chrono::duration<double> elapsed = end - this->refilled_at;
+  this->tokens =
+      std::min(valid.burst, this->tokens + valid.rate * elapsed.count());
+  this->refilled_at = end;
+}
+
+ShareAmount TokenBucket::ValidAt(kernel::Instant instant) const {
+  ShareAmount valid;
+  for (const LeasedAmount* share : {&this->dynamic, &this->reserve}) {
+    if (instant < share->expiry) {
+      valid = valid + share->amount;
+    }
+  }
+  return valid;
 }
 
 }  // namespace laburnumkeel::limits
--- a/src/laburnumkeel/limits/token_bucket.h
+++ b/src/laburnumkeel/limits/token_bucket.h
@@ -6,29 +6,44 @@
 
 namespace laburnumkeel::limits {
 
-// Tokens of one share. Starts empty and without a share. Not thread-safe.
+// An amount that may be used until `expiry`.
+struct LeasedAmount {
+  ShareAmount amount;
+  kernel::Instant expiry;
+
+  bool operator==(const LeasedAmount&) const = default;
+};
+
+// Tokens of an account on one VM. Rate and capacity are those of the dynamic
+// and the reserve share together, as far as they have not expired. One pool
+// for both: with a pool for each, the smaller one overflows while a request
+// waits for the other, and a small burst gives neither a whole token.
+//
+// Starts empty and without shares. Not thread-safe.
 class TokenBucket {
  public:
-  // Replaces the share. Tokens above a lower capacity are discarded, and
-  // additional capacity starts empty. After an expired share the bucket is
-  // empty.
-  void Apply(const ShareAmount& new_amount, kernel::Instant new_expiry,
+  // Replaces both shares. Tokens above a lower capacity are discarded, and
+  // additional capacity starts empty.
+  void Apply(const LeasedAmount& new_dynamic, const LeasedAmount& new_reserve,
              kernel::Instant now);
 
-  // Tokens at `now`; 0 once the share has expired.
-  double Available(kernel::Instant now);
+  // Removes one token. False when there is none.
+  bool TryTake(kernel::Instant now);
 
-  // Removes up to `tokens` and returns how many were removed.
-  double Take(double tokens, kernel::Instant now);
+  // Tokens at `now`.
+  double Available(kernel::Instant now);
 
-  bool IsExpired(kernel::Instant now) const { return now >= this->expiry; }
-  const ShareAmount& Amount() const { return this->amount; }
+  const LeasedAmount& Dynamic() const { return this->dynamic; }
+  const LeasedAmount& Reserve() const { return this->reserve; }
 
  private:
   void Refill(kernel::Instant now);
+  void RefillUntil(kernel::Instant end);
+  // Sum of the shares that are valid at an instant.
+  ShareAmount ValidAt(kernel::Instant instant) const;
 
-  ShareAmount amount;
-  kernel::Instant expiry;
+  LeasedAmount dynamic;
+  LeasedAmount reserve;
   kernel::Instant refilled_at;
   double tokens = 0;
 };
--- a/tests/limits/account_limiter_test.cpp
+++ b/tests/limits/account_limiter_test.cpp
@@ -12,7 +12,7 @@
 
 class AccountLimiterTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AccountLimiterTest);
-  CPPUNIT_TEST(BothBucketsPayForARequest);
+  CPPUNIT_TEST(BothSharesPayForARequest);
   CPPUNIT_TEST(ReserveOutlivesDynamicShare);
   CPPUNIT_TEST(MissingShareIsWithdrawn);
   CPPUNIT_TEST(RefusedRequestsCountAsDemand);
@@ -20,8 +20,8 @@
 
  public:
   // Guards against an account with a small burst that never passes, because
-  // neither of its two buckets can hold a whole token.
-  void BothBucketsPayForARequest() {
+  // neither of its two shares covers a whole token.
+  void BothSharesPayForARequest() {
     this->Apply(ShareAmount{1, 0.7}, ShareAmount{1, 0.3});
     CPPUNIT_ASSERT(!this->limiter.TryTake("a").is_allowed);
     this->clock.Advance(seconds(2));
