Retry writes while a promotion is in progress

Cause: the retry policy did not know the router's codes no_primary and term_superseded and took them for permanent refusals. Ruled out: the attempt limit and the deadline (attempt 16 of 40, 2.6 s of 5 s). Measured with one primary killed under 330 writes and reads a second: 23 writes refused as term_superseded and 2 no_response before.

--- a/src/laburnumkeel/endpoints/endpoint_error.h
+++ b/src/laburnumkeel/endpoints/endpoint_error.h
@@ -42,6 +42,11 @@
 inline constexpr std::string_view kPoolClosed = "pool_closed";
 inline constexpr std::string_view kAccessRevoked = "access_revoked";
 
+// No primary could be chosen, so nothing was sent; outcome `not_run`. Both end
+// with the promotion in progress.
+inline constexpr std::string_view kNoPrimary = "no_primary";
+inline constexpr std::string_view kTermSuperseded = "term_superseded";
+
 // Failures after sending; outcome `unknown`.
 inline constexpr std::string_view kNoResponse = "no_response";
 inline constexpr std::string_view kInvalidResponse = "invalid_response";
--- a/src/laburnumkeel/endpoints/retry_policy.cpp
+++ b/src/laburnumkeel/endpoints/retry_policy.cpp
@@ -13,7 +13,8 @@
 bool IsTransient(std::string_view code) {
   return (IsEndpointRefusal(code) && code != codes::kBadStatement) ||
          code == codes::kConnectFailed || code == codes::kConnectionClosed ||
-         code == codes::kPoolClosed || code == codes::kNoTransactionSlot;
+         code == codes::kPoolClosed || code == codes::kNoTransactionSlot ||
+         code == codes::kNoPrimary || code == codes::kTermSuperseded;
 }
 
 RetryDecision Refuse(std::string_view reason) {
