--- a/src/laburnumkeel/promotion/failure_detector.h
+++ b/src/laburnumkeel/promotion/failure_detector.h
@@ -64,12 +64,14 @@
     }
   }
 
-  // After a lost race: waits a random 200 to 800 ms, so that two promoters
-  // that split the members do not collide again.
-  void OnLostRace(model::Term seen) {
+  // After an own promotion failed: waits a random 200 to 800 ms, so that two
+  // promoters that split the members do not collide again. `seen` is the
+  // highest term of the attempt. The time of the attempt is no own pause.
+  void OnFailedPromotion(model::Term seen) {
     this->ObserveTerm(seen);
     std::uniform_int_distribution<int> milliseconds(200, 800);
     this->Hold(std::chrono::milliseconds(milliseconds(this->random)));
+    this->last_check = this->clock.Now();
   }
 
   // True when the watcher has to promote now, in the term after
--- a/src/laburnumkeel/promotion/promoter.h
+++ b/src/laburnumkeel/promotion/promoter.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -29,9 +30,11 @@
   // promoter takes the next one and no later one, so that a promoter that was
   // paused after the decision loses against any promotion made meanwhile.
   model::Term known_term = 0;
-  // Member preferred among those with the greatest log end; may be empty.
+  // Of several members with the greatest log end, `preferred` is promoted and
+  // `avoided` is not; both may be empty.
   std::string preferred;
-  // Seal all reachable members, so that the preferred one is among the sealed.
+  std::string avoided;
+  // Seal all reachable members, so that the preferred one is among them.
   bool seal_all = false;
 
   bool operator==(const PromotionRequest&) const = default;
@@ -43,14 +46,16 @@
 // is sure to hold all acknowledged writes.
 inline const model::EndpointStatus& ChooseSealed(
     const std::vector<model::EndpointStatus>& sealed,
-    const std::string& preferred) {
-  return *std::max_element(
-      sealed.begin(), sealed.end(),
-      [&](const model::EndpointStatus& left,
-          const model::EndpointStatus& right) {
-        return std::make_pair(left.log_end, left.endpoint == preferred) <
-               std::make_pair(right.log_end, right.endpoint == preferred);
-      });
+    const PromotionRequest& request) {
+  const auto rank = [&](const model::EndpointStatus& status) {
+    return std::make_tuple(status.log_end, status.endpoint == request.preferred,
+                           status.endpoint != request.avoided);
+  };
+  return *std::max_element(sealed.begin(), sealed.end(),
+                           [&](const model::EndpointStatus& left,
+                               const model::EndpointStatus& right) {
+                             return rank(left) < rank(right);
+                           });
 }
 
 }  // namespace detail
@@ -140,8 +145,7 @@
               std::to_string(request.members.size()) + " members",
           highest};
     }
-    const std::string& chosen =
-        detail::ChooseSealed(sealed, request.preferred).endpoint;
+    const std::string& chosen = detail::ChooseSealed(sealed, request).endpoint;
     return this->PromoteChosen(request.group, chosen, term, promoter);
   }
 
--- a/src/laburnumkeel/routing/read_router.cpp
+++ b/src/laburnumkeel/routing/read_router.cpp
@@ -46,10 +46,18 @@
          StatusOf(member).role == model::EndpointRole::kReplica &&
          view.IsEligible(member.endpoint) &&
          !IsDiverged(member, view.Primary()) &&
-         SatisfiesSession(member, requirement.session_position) &&
          SatisfiesStaleness(member, requirement, now);
 }
 
+// True for a replica that kept up with the term of the session.
+bool ProbablyApplied(const MemberState& replica,
+                     const model::LogPosition& session, kernel::Instant now) {
+  const model::EndpointStatus& status = StatusOf(replica);
+  return status.log_end.term == session.term &&
+         status.staleness_ms <= ReadRouter::kKeepingUp.count() &&
+         now - replica.measurement->sent <= ReadRouter::kKeepingUpFor;
+}
+
 bool IsResponsive(const MemberState& member, kernel::Instant now) {
   return now - member.measurement->sent <= ReadRouter::kUnresponsiveAfter;
 }
@@ -78,12 +86,64 @@
          !model::IsContained(*session, StatusOf(*primary).term_starts);
 }
 
+// Starts of all terms up to `term` in a log with entries of `term`. All such
+// logs agree on them, so any member's list serves. Empty when no status has it.
+std::optional<std::vector<model::TermStart>> StartsUpTo(const GroupView& view,
+                                                        model::Term term) {
+  for (const MemberState& member : view.Members()) {
+    if (!member.measurement) {
+      continue;
+    }
+    std::vector<model::TermStart> starts = StatusOf(member).term_starts;
+    std::erase_if(starts, [&](const model::TermStart& start) {
+      return start.term > term;
+    });
+    if (!starts.empty() && starts.back().term == term) {
+      return starts;
+    }
+  }
+  return std::nullopt;
+}
+
 struct RankedCandidate {
   ReadCandidate candidate;
-  // Unresponsive, primary, remote, place after rotation.
-  std::tuple<bool, bool, bool, std::size_t> rank;
+  // Unresponsive, primary, only probable, remote, place after rotation.
+  std::tuple<bool, bool, bool, bool, std::size_t> rank;
 };
 
+std::optional<RankedCandidate> RankReplica(const GroupView& view,
+                                           const MemberState& member,
+                                           const ReadRequirement& requirement,
+                                           bool local, std::size_t turn,
+                                           kernel::Instant now) {
+  if (requirement.confirmed_primary ||
+      !MayServeAsReplica(view, member, requirement, now)) {
+    return std::nullopt;
+  }
+  const bool satisfies = SatisfiesSession(member, requirement.session_position);
+  if (!satisfies &&
+      !ProbablyApplied(member, *requirement.session_position, now)) {
+    return std::nullopt;
+  }
+  const bool responsive = IsResponsive(member, now);
+  const ReadReason reason = !responsive  ? ReadReason::kUnresponsiveReplica
+                            : !satisfies ? ReadReason::kProbableReplica
+                            : local      ? ReadReason::kLocalReplica
+                                         : ReadReason::kRemoteReplica;
+  return RankedCandidate{ReadCandidate{member.endpoint, reason, false},
+                         {!responsive, false, !satisfies, !local, turn}};
+}
+
+// Puts probable replicas after the first candidate behind all others: each
+// attempt in vain takes a slot, so the primary comes before a second one.
+void PostponeProbable(std::vector<ReadCandidate>& candidates) {
+  std::stable_partition(candidates.begin() + 1, candidates.end(),
+                        [](const ReadCandidate& candidate) {
+                          return candidate.reason !=
+                                 ReadReason::kProbableReplica;
+                        });
+}
+
 }  // namespace
 
 std::string_view ToString(ReadReason reason) {
@@ -92,6 +152,8 @@
       return "local_replica";
     case ReadReason::kRemoteReplica:
       return "remote_replica";
+    case ReadReason::kProbableReplica:
+      return "probable_replica";
     case ReadReason::kUnresponsiveReplica:
       return "unresponsive_replica";
     case ReadReason::kPrimaryFallback:
@@ -114,18 +176,12 @@
   std::size_t place = 0;
   for (const MemberState& member : view.Members()) {
     const std::size_t turn = (place++ + spread) % view.Members().size();
-    if (requirement.confirmed_primary ||
-        !MayServeAsReplica(view, member, requirement, now)) {
-      continue;
+    auto replica =
+        RankReplica(view, member, requirement,
+                    member.data_centre == this->data_centre, turn, now);
+    if (replica) {
+      ranked.push_back(std::move(*replica));
     }
-    const bool responsive = IsResponsive(member, now);
-    const bool local = member.data_centre == this->data_centre;
-    const ReadReason reason = !responsive ? ReadReason::kUnresponsiveReplica
-                              : local     ? ReadReason::kLocalReplica
-                                          : ReadReason::kRemoteReplica;
-    ranked.push_back(
-        RankedCandidate{ReadCandidate{member.endpoint, reason, false},
-                        {!responsive, false, !local, turn}});
   }
   const MemberState* primary = view.Primary();
   if (primary != nullptr && MayReceivePrimaryWork(*primary, now)) {
@@ -135,7 +191,7 @@
     ranked.push_back(RankedCandidate{
         ReadCandidate{primary->endpoint, reason,
                       NeedsConfirmation(view, requirement, now)},
-        {!IsResponsive(*primary, now), true, false, 0}});
+        {!IsResponsive(*primary, now), true, false, false, 0}});
   }
   if (ranked.empty()) {
     return RoutingError{primary == nullptr ? RoutingFailure::kNoPrimary
@@ -151,6 +207,7 @@
   for (RankedCandidate& entry : ranked) {
     candidates.push_back(std::move(entry.candidate));
   }
+  PostponeProbable(candidates);
   return candidates;
 }
 
@@ -162,34 +219,23 @@
     return ReadVerdict::kSufficient;
   }
   const model::LogPosition& session = *requirement.session_position;
-  if (response.term < session.term || response.position < session.position) {
+  if (response.term < session.term) {
     return ReadVerdict::kInsufficient;
   }
-  if (response.term == session.term) {
-    return ReadVerdict::kSufficient;
-  }
-  // All logs with an entry of the response's term agree on the starts up to
-  // that term, so any member's list serves.
-  for (const MemberState& member : view.Members()) {
-    if (!member.measurement) {
-      continue;
-    }
-    std::vector<model::TermStart> starts = StatusOf(member).term_starts;
-    std::erase_if(starts, [&](const model::TermStart& start) {
-      return start.term > response.term;
-    });
-    if (starts.empty() || starts.back().term != response.term) {
-      continue;
+  if (response.term > session.term) {
+    const auto starts = StartsUpTo(view, response.term);
+    if (!starts) {
+      return ReadVerdict::kInsufficient;
     }
-    if (model::IsContained(session, starts)) {
-      return ReadVerdict::kSufficient;
+    if (!model::IsContained(session, *starts)) {
+      const MemberState* primary = view.Primary();
+      return primary != nullptr && primary->endpoint == endpoint
+                 ? ReadVerdict::kPositionLost
+                 : ReadVerdict::kInsufficient;
     }
-    const MemberState* primary = view.Primary();
-    return primary != nullptr && primary->endpoint == endpoint
-               ? ReadVerdict::kPositionLost
-               : ReadVerdict::kInsufficient;
   }
-  return ReadVerdict::kInsufficient;
+  return response.position >= session.position ? ReadVerdict::kSufficient
+                                               : ReadVerdict::kInsufficient;
 }
 
 }  // namespace laburnumkeel::routing
--- a/src/laburnumkeel/routing/read_router.h
+++ b/src/laburnumkeel/routing/read_router.h
@@ -1,9 +1,11 @@
 #ifndef LABURNUMKEEL_ROUTING_READ_ROUTER_H_
 #define LABURNUMKEEL_ROUTING_READ_ROUTER_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "laburnumkeel/kernel/clock.h"
@@ -18,6 +20,9 @@
 enum class ReadReason {
   kLocalReplica,
   kRemoteReplica,
+  // Its last status does not reach the session's position, but it was keeping
+  // up and has probably applied it meanwhile.
+  kProbableReplica,
   // The last status is older than 3 s: used only after all others.
   kUnresponsiveReplica,
   // No replica satisfies the requirement, or those before it failed.
@@ -47,12 +52,22 @@
 
 // Chooses endpoints for reads. Replicas come before the primary, those of the
 // own data centre before others; `spread` rotates equal ones.
+//
+// Statuses are up to a polling period old, so a session that has just seen a
+// new position would be sent to the primary although all replicas applied it.
+// Such a read tries one probable replica before the primary:
+// `CheckReadResponse` rejects its response if it is too old after all.
 class ReadRouter {
  public:
   // A status older than this means that the endpoint may not be reachable.
   static constexpr kernel::Duration kUnresponsiveAfter =
       std::chrono::seconds(3);
 
+  // Reported staleness up to which a replica counts as keeping up with its
+  // primary, and the age of a status up to which this still says something.
+  static constexpr std::chrono::milliseconds kKeepingUp{100};
+  static constexpr kernel::Duration kKeepingUpFor = std::chrono::seconds(1);
+
   explicit ReadRouter(std::string data_centre)
       : data_centre(std::move(data_centre)) {}
 
