--- a/src/laburnumkeel/configuration/freshness.h
+++ b/src/laburnumkeel/configuration/freshness.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -20,12 +21,24 @@
 // All ages are measured from the moment a request was sent, so a slow answer
 // or a pause of this process makes evidence older, never younger. Requests
 // that arrive from peers prove nothing, because the time they took is not
-// known. Thread-safe.
+// known.
+//
+// In a store outage each data centre vouches for the changes that were
+// confirmed by its VMs. A VM that started or was paused cannot do so: it is not
+// synchronised until it has a proof, or answers of synchronised VMs of its own
+// data centre or of a majority of data centres. Thread-safe.
 template <kernel::Clock Clock>
 class Freshness {
  public:
+  // A longer time between two calls of this object counts as a pause. It is
+  // below `kFreshnessLimit`, after which others no longer wait for this VM.
+  static constexpr kernel::Duration kMaximumGap = std::chrono::seconds(2);
+
   Freshness(Clock clock, std::string own_data_centre)
-      : clock(std::move(clock)), own_data_centre(std::move(own_data_centre)) {}
+      : clock(std::move(clock)),
+        own_data_centre(std::move(own_data_centre)),
+        last_call(this->clock.Now()),
+        unsynchronised_since(this->last_call) {}
 
   // The configuration now held. Its data centres are those of the majority.
   void ConfigurationHeld(const model::Configuration& configuration) {
@@ -45,6 +58,7 @@
   // The store answered a read sent at `sent` with this version.
   void StoreAnswered(kernel::Instant sent, std::uint64_t version) {
     const std::lock_guard lock(this->mutex);
+    this->NoteCall();
     Raise(this->store_reached, sent);
     Raise(this->contacts[this->own_data_centre].reached_store, sent);
     this->NoteVersion(version);
@@ -54,13 +68,16 @@
   // A peer answered an exchange sent at `sent`.
   void PeerAnswered(kernel::Instant sent, const PeerEvidence& evidence) {
     const std::lock_guard lock(this->mutex);
-    Contact& contact = this->contacts[evidence.data_centre];
-    Raise(contact.alive, sent);
-    contact.version = std::max(contact.version, evidence.version);
+    this->NoteCall();
+    if (evidence.version == 0) {
+      return;
+    }
     this->NoteVersion(evidence.version);
+    this->NotePeer(sent, evidence);
     if (evidence.proof_age.has_value()) {
-      this->NoteProof(evidence.version, sent - *evidence.proof_age);
-      Raise(contact.reached_store, sent - *evidence.proof_age);
+      const kernel::Instant proved = sent - *evidence.proof_age;
+      this->NoteProof(evidence.version, proved);
+      Raise(this->contacts[evidence.data_centre].reached_store, proved);
     }
     for (const DataCentreContact& reported : evidence.contacts) {
       if (reported.reaches_store) {
@@ -78,7 +95,7 @@
 
   FreshnessDecision Decide() {
     const std::lock_guard lock(this->mutex);
-    const kernel::Instant now = this->clock.Now();
+    const kernel::Instant now = this->NoteCall();
     FreshnessDecision decision;
     decision.reason = this->Reason(now);
     decision.fresh = decision.reason == FreshnessReason::kProven ||
@@ -97,7 +114,26 @@
     return decision;
   }
 
-  // Age of the proof for the version held, as passed on to peers.
+  // What this VM tells its peers. Version and proof belong together: with a
+  // newer version's proof an old version would look newest. Call it at least
+  // once a second, so that this object notices pauses.
+  PeerEvidence Announce(std::string vm) {
+    const std::lock_guard lock(this->mutex);
+    const kernel::Instant now = this->NoteCall();
+    PeerEvidence evidence;
+    evidence.vm = std::move(vm);
+    evidence.data_centre = this->own_data_centre;
+    evidence.contacts = this->CurrentContacts(now);
+    if (this->synchronised) {
+      evidence.version = this->held_version;
+      if (this->proof.has_value()) {
+        evidence.proof_age = now - *this->proof;
+      }
+    }
+    return evidence;
+  }
+
+  // Age of the proof for the version held.
   std::optional<kernel::Duration> ProofAge() const {
     const std::lock_guard lock(this->mutex);
     if (!this->proof.has_value()) {
@@ -119,56 +155,44 @@
     return this->MajorityInContact(this->clock.Now());
   }
 
-  // Whether VMs in a majority of the given data centres answered that they
-  // hold this version or a higher one. Report a change as accepted only when
-  // this holds for the data centres before and after it. Otherwise, after a cut
+  // Whether in a majority of the given data centres all VMs in contact hold
+  // this version or a higher one. Report a change as accepted only when this
+  // holds for the data centres before and after it. Otherwise, after a cut
   // between commit and distribution, a majority that never hears of the change
   // could take the cut for a store outage.
   bool IsHeldByMajority(
       std::uint64_t version,
       const std::vector<model::DataCentre>& data_centres) const {
     const std::lock_guard lock(this->mutex);
-    const auto holders = std::count_if(
-        data_centres.begin(), data_centres.end(),
-        [&](const model::DataCentre& data_centre) {
-          if (data_centre.name == this->own_data_centre) {
-            return this->held_version >= version;
-          }
-          const auto contact = this->contacts.find(data_centre.name);
-          return contact != this->contacts.end() &&
-                 contact->second.version >= version;
-        });
+    const auto holders =
+        std::count_if(data_centres.begin(), data_centres.end(),
+                      [&](const model::DataCentre& data_centre) {
+                        return this->IsHeldBy(data_centre.name, version);
+                      });
     return IsMajority(holders, data_centres.size());
   }
 
-  // The data centres in contact, as passed on to peers.
+  // The data centres in contact.
   std::vector<DataCentreContact> Contacts() const {
     const std::lock_guard lock(this->mutex);
-    const kernel::Instant now = this->clock.Now();
-    std::vector<DataCentreContact> result;
-    for (const auto& [data_centre, contact] : this->contacts) {
-      if (IsRecent(contact.alive, now)) {
-        result.push_back(
-            DataCentreContact{data_centre, now - *contact.alive, false});
-      }
-      if (IsRecent(contact.reached_store, now)) {
-        result.push_back(
-            DataCentreContact{data_centre, now - *contact.reached_store, true});
-      }
-    }
-    return result;
+    return this->CurrentContacts(this->clock.Now());
   }
 
  private:
   using OptionalInstant = std::optional<kernel::Instant>;
 
+  struct PeerVm {
+    kernel::Instant alive;
+    std::uint64_t version = 0;
+  };
+
   struct Contact {
-    // Sent time of the newest answered exchange.
+    // Sent time of the newest exchange that a synchronised VM answered.
     OptionalInstant alive;
     // Time of the newest proof that came from this data centre.
     OptionalInstant reached_store;
-    // Highest version that one of its VMs said to hold.
-    std::uint64_t version = 0;
+    // Synchronised VMs by name.
+    std::map<std::string, PeerVm> vms;
   };
 
   struct PendingProof {
@@ -190,6 +214,80 @@
     return static_cast<std::size_t>(count) * 2 > total;
   }
 
+  std::vector<DataCentreContact> CurrentContacts(kernel::Instant now) const {
+    std::vector<DataCentreContact> result;
+    for (const auto& [data_centre, contact] : this->contacts) {
+      if (IsRecent(contact.alive, now)) {
+        result.push_back(
+            DataCentreContact{data_centre, now - *contact.alive, false});
+      }
+      if (IsRecent(contact.reached_store, now)) {
+        result.push_back(
+            DataCentreContact{data_centre, now - *contact.reached_store, true});
+      }
+    }
+    return result;
+  }
+
+  // Notices a pause. Returns the current time.
+  kernel::Instant NoteCall() {
+    const kernel::Instant now = this->clock.Now();
+    if (now - this->last_call > kMaximumGap) {
+      this->synchronised = false;
+      this->unsynchronised_since = now;
+      this->vouching_data_centres.clear();
+    }
+    this->last_call = now;
+    if (IsRecent(this->proof, now)) {
+      this->synchronised = true;
+    }
+    return now;
+  }
+
+  // Takes the answer of a synchronised VM.
+  void NotePeer(kernel::Instant sent, const PeerEvidence& evidence) {
+    const kernel::Instant now = this->clock.Now();
+    Contact& contact = this->contacts[evidence.data_centre];
+    Raise(contact.alive, sent);
+    std::erase_if(contact.vms, [&](const auto& entry) {
+      return !IsRecent(entry.second.alive, now);
+    });
+    PeerVm& peer = contact.vms[evidence.vm];
+    peer.alive = std::max(peer.alive, sent);
+    peer.version = std::max(peer.version, evidence.version);
+    if (this->synchronised || evidence.version > this->held_version ||
+        sent < this->unsynchronised_since) {
+      return;
+    }
+    this->vouching_data_centres.insert(evidence.data_centre);
+    const auto vouching = std::count_if(
+        this->data_centres.begin(), this->data_centres.end(),
+        [this](const std::string& data_centre) {
+          return this->vouching_data_centres.contains(data_centre);
+        });
+    this->synchronised = evidence.data_centre == this->own_data_centre ||
+                         IsMajority(vouching, this->data_centres.size());
+  }
+
+  bool IsHeldBy(const std::string& data_centre, std::uint64_t version) const {
+    const kernel::Instant now = this->clock.Now();
+    const bool is_own = data_centre == this->own_data_centre;
+    if (is_own && this->held_version < version) {
+      return false;
+    }
+    const auto contact = this->contacts.find(data_centre);
+    if (contact == this->contacts.end()) {
+      return is_own;
+    }
+    const auto& vms = contact->second.vms;
+    const bool all_hold =
+        std::all_of(vms.begin(), vms.end(), [&](const auto& entry) {
+          return entry.second.version >= version ||
+                 !IsRecent(entry.second.alive, now);
+        });
+    return all_hold && (is_own || IsRecent(contact->second.alive, now));
+  }
+
   void NoteVersion(std::uint64_t version) {
     this->known_version = std::max(this->known_version, version);
   }
@@ -241,6 +339,9 @@
     if (!this->MajorityInContact(now)) {
       return FreshnessReason::kCutOff;
     }
+    if (!this->synchronised) {
+      return FreshnessReason::kNotSynchronised;
+    }
     const bool reached = std::any_of(
         this->contacts.begin(), this->contacts.end(), [&](const auto& contact) {
           return IsRecent(contact.second.reached_store, now);
@@ -279,6 +380,11 @@
   std::optional<PendingProof> pending_proof;
   std::map<std::string, Contact> contacts;
   OptionalInstant last_fresh;
+  kernel::Instant last_call;
+  bool synchronised = false;
+  kernel::Instant unsynchronised_since;
+  // Data centres that answered since then.
+  std::set<std::string> vouching_data_centres;
   std::optional<FreshnessReason> logged_reason;
 };
 
--- a/src/laburnumkeel/configuration/freshness_decision.cpp
+++ b/src/laburnumkeel/configuration/freshness_decision.cpp
@@ -12,6 +12,8 @@
       return "newer_version_known";
     case FreshnessReason::kProofTooOld:
       return "proof_too_old";
+    case FreshnessReason::kNotSynchronised:
+      return "not_synchronised";
     case FreshnessReason::kCutOff:
       break;
   }
--- a/src/laburnumkeel/configuration/freshness_decision.h
+++ b/src/laburnumkeel/configuration/freshness_decision.h
@@ -29,6 +29,8 @@
   kProofTooOld,
   // Neither the store nor a majority of data centres is in contact.
   kCutOff,
+  // This VM started or was paused and may have missed a change meanwhile.
+  kNotSynchronised,
 };
 
 std::string_view ToString(FreshnessReason reason);
@@ -63,8 +65,9 @@
 
 // What a peer's answer says.
 struct PeerEvidence {
+  std::string vm;
   std::string data_centre;
-  // The version that the peer holds.
+  // The version that the peer announces: 0 while it is not synchronised.
   std::uint64_t version = 0;
   // Age of its proof for that version; empty when it has none.
   std::optional<kernel::Duration> proof_age;
--- a/src/laburnumkeel/configuration/startup_rule.h
+++ b/src/laburnumkeel/configuration/startup_rule.h
@@ -15,7 +15,8 @@
  public:
   void StoreAnswered(std::uint64_t version);
 
-  // A peer that holds no configuration is starting itself and does not count.
+  // A peer that is starting itself does not count. It answers version 0 until
+  // it is ready: what it has learned so far may come from a minority.
   void PeerAnswered(const std::string& vm, std::uint64_t version);
 
   // `listed_vms` are the names of the platform's VM list, which may contain
--- /dev/null
+++ b/tests/configuration/racing_operators_property_test.cpp
@@ -0,0 +1,172 @@
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <iostream>
+#include <map>
+
+#include "laburnumkeel/configuration/configuration_store.h"
+#include "tests/configuration/flaky_table.h"
+#include "tests/support/sample_configuration.h"
+
+namespace laburnumkeel::configuration {
+namespace {
+
+using testing::CommitFault;
+using testing::FlakyTable;
+
+// One proposal of an operator: a new change, or the last one again.
+struct Step {
+  int operator_number = 0;
+  bool repeats = false;
+  // How many versions the operator's copy is behind.
+  int behind = 0;
+  std::vector<CommitFault> faults;
+};
+
+rc::Gen<Step> AnyStep() {
+  return rc::gen::build<Step>(
+      rc::gen::set(&Step::operator_number, rc::gen::inRange(0, 3)),
+      rc::gen::set(&Step::repeats),
+      rc::gen::set(&Step::behind,
+                   rc::gen::weightedElement<int>({{6, 0}, {1, 1}, {1, 2}})),
+      rc::gen::set(
+          &Step::faults,
+          rc::gen::container<std::vector<CommitFault>>(rc::gen::element(
+              CommitFault::kNone, CommitFault::kDown, CommitFault::kRequestLost,
+              CommitFault::kResponseLost, CommitFault::kRequestDelayed,
+              CommitFault::kOvertaken))));
+}
+
+// A change with all that its operator has been told about it.
+struct Change {
+  std::uint64_t base = 0;
+  std::string operation_id;
+  ProposalResult told = ProposalResult::kUnknown;
+  std::uint64_t version = 0;
+  bool was_unknown = false;
+};
+
+class Operators {
+ public:
+  Operators() {
+    this->table.overtake = [this] {
+      FlakyTable& table = this->table;
+      const auto faults = std::exchange(table.faults, {});
+      ConfigurationStore<FlakyTable> other(table);
+      (void)other.Propose(testing::SampleConfiguration(), table.history.size(),
+                          "overtaking" + std::to_string(this->overtakers++));
+      table.faults = faults;
+    };
+  }
+
+  void Run(const Step& step) {
+    const auto last = this->last_of.find(step.operator_number);
+    if (step.repeats && last != this->last_of.end()) {
+      this->Propose(this->changes[last->second], step.faults);
+      return;
+    }
+    const auto version = this->table.history.size();
+    const auto behind = static_cast<std::uint64_t>(step.behind);
+    this->last_of[step.operator_number] = this->changes.size();
+    this->changes.push_back(
+        Change{version > behind ? version - behind : 0,
+               "operation" + std::to_string(this->changes.size())});
+    this->Propose(this->changes.back(), step.faults);
+  }
+
+  // Repeats what is unknown, without faults.
+  void Settle() {
+    this->table.DeliverDelayed();
+    for (Change& change : this->changes) {
+      if (change.told == ProposalResult::kUnknown) {
+        this->Propose(change, {});
+      }
+    }
+  }
+
+  // The naive reference is the list of operations that took effect in the one
+  // table: the operation at place n made version n + 1 out of version n.
+  void Check() {
+    const std::vector<std::string>& history = this->table.history;
+    for (const Change& change : this->changes) {
+      const auto count =
+          std::count(history.begin(), history.end(), change.operation_id);
+      if (change.told == ProposalResult::kAccepted) {
+        RC_ASSERT(count == 1);
+        RC_ASSERT(history.at(change.version - 1) == change.operation_id);
+        RC_ASSERT(change.version == change.base + 1);
+      } else {
+        RC_ASSERT(count == 0);
+      }
+      RC_ASSERT(change.told != ProposalResult::kUnknown);
+    }
+    ConfigurationStore<FlakyTable> store(this->table);
+    RC_ASSERT(store.Read().value().version == history.size());
+  }
+
+  static inline int accepted = 0;
+  static inline int refused = 0;
+  static inline int unknown = 0;
+
+ private:
+  void Propose(Change& change, const std::vector<CommitFault>& faults) {
+    this->table.faults = faults;
+    ConfigurationStore<FlakyTable> store(this->table);
+    const Proposal proposal = store.Propose(testing::SampleConfiguration(),
+                                            change.base, change.operation_id);
+    this->table.faults.clear();
+    const bool was_settled = change.told == ProposalResult::kAccepted ||
+                             change.told == ProposalResult::kConflict;
+    if (was_settled) {
+      RC_ASSERT(proposal.result == change.told);
+    }
+    const bool is_outage = proposal.result == ProposalResult::kStoreUnavailable;
+    // An outage says nothing about an earlier attempt.
+    if (!(is_outage && change.was_unknown)) {
+      change.told = proposal.result;
+      change.version = proposal.version;
+    }
+    change.was_unknown |= proposal.result == ProposalResult::kUnknown;
+    accepted += proposal.result == ProposalResult::kAccepted ? 1 : 0;
+    unknown += proposal.result == ProposalResult::kUnknown ? 1 : 0;
+    refused += proposal.result == ProposalResult::kConflict ? 1 : 0;
+  }
+
+  FlakyTable table;
+  std::vector<Change> changes;
+  std::map<int, std::size_t> last_of;
+  int overtakers = 0;
+};
+
+class RacingOperatorsPropertyTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RacingOperatorsPropertyTest);
+  CPPUNIT_TEST(ToldResultsAgreeWithTable);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a change that is reported as accepted and is not, that is
+  // reported as refused and takes effect later, or that takes effect twice.
+  void ToldResultsAgreeWithTable() {
+    const bool holds = rc::check("told results agree with the table", [] {
+      const auto steps = *rc::gen::container<std::vector<Step>>(AnyStep());
+      Operators operators;
+      for (const Step& step : steps) {
+        operators.Run(step);
+      }
+      operators.Settle();
+      operators.Check();
+    });
+    std::cerr << "racing operators: " << Operators::accepted << " accepted, "
+              << Operators::refused << " conflicts, " << Operators::unknown
+              << " unknown at first\n";
+    CPPUNIT_ASSERT(holds);
+    CPPUNIT_ASSERT(Operators::accepted > 0 && Operators::refused > 0 &&
+                   Operators::unknown > 0);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RacingOperatorsPropertyTest);
+
+}  // namespace
+}  // namespace laburnumkeel::configuration
