Start a restarted initial primary as a replica

With an empty log it would write other entries into the positions of term 1, and its replicas, which compare only term and position, would not notice.

A cut of a data centre also stops replication to the members there: a primary learns the data centre of a member from its responses.

--- a/standins/standin-endpoint/database.cpp
+++ b/standins/standin-endpoint/database.cpp
@@ -15,13 +15,7 @@
 }  // namespace
 
 Database::Database(const DatabaseOptions& options)
-    : options(options), staleness(this->clock.Now()) {
-  if (options.initial_primary) {
-    this->terms.Join(1);
-    this->terms.BecomePrimary();
-    this->AppendAsPrimary(LogEntry{1, {}, "", ""});
-  }
-}
+    : options(options), staleness(this->clock.Now()) {}
 
 model::EndpointStatus Database::Status() {
   const std::lock_guard lock(this->mutex);
@@ -42,6 +36,13 @@
   return this->CurrentStatus();
 }
 
+void Database::BeginFirstTerm() {
+  const std::lock_guard lock(this->mutex);
+  this->terms.Join(1);
+  this->terms.BecomePrimary();
+  this->AppendAsPrimary(LogEntry{1, {}, "", ""});
+}
+
 bool Database::Seal(model::Term term, const std::string& promoter) {
   const std::lock_guard lock(this->mutex);
   this->NoteOwnStateIfPrimary();
--- a/standins/standin-endpoint/database.h
+++ b/standins/standin-endpoint/database.h
@@ -25,8 +25,6 @@
 struct DatabaseOptions {
   std::string name;
   std::string group;
-  // Starts as the primary of term 1.
-  bool initial_primary = false;
   // Time between receipt of an entry and its application on a replica.
   std::chrono::milliseconds replication_lag{0};
 };
@@ -56,6 +54,9 @@
   model::EndpointStatus WaitForChange(const model::LogPosition& after,
                                       std::chrono::milliseconds wait);
 
+  // Makes the empty database of a new group the primary of term 1.
+  void BeginFirstTerm();
+
   bool Seal(model::Term term, const std::string& promoter);
   bool Promote(model::Term term, const std::string& promoter);
 
--- a/standins/standin-endpoint/replicator.cpp
+++ b/standins/standin-endpoint/replicator.cpp
@@ -4,8 +4,6 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "standins/common/origin.h"
-
 namespace laburnumkeel::standins {
 
 namespace {
@@ -15,9 +13,11 @@
 
 }  // namespace
 
-Replicator::Replicator(Database& database, const std::string& address,
-                       std::string origin, std::function<bool()> may_send)
+Replicator::Replicator(Database& database, Origin member,
+                       const std::string& address, std::string origin,
+                       std::function<bool(const Origin&)> may_send)
     : database(database),
+      member(std::move(member)),
       client(address, transport::ConnectionLimits{}),
       origin(std::move(origin)),
       may_send(std::move(may_send)) {}
@@ -38,7 +38,7 @@
 void Replicator::Loop() {
   while (!this->stopping) {
     const auto replication = this->database.EntriesAfter(this->member_position);
-    if (!replication.has_value() || !this->may_send() ||
+    if (!replication.has_value() || !this->may_send(this->member) ||
         !this->Send(*replication)) {
       std::this_thread::sleep_for(kHeartbeat);
       continue;
@@ -58,6 +58,9 @@
   if (!response.has_value()) {
     return false;
   }
+  this->member.data_centre =
+      ParseOrigin(response.value().Header(std::string(kOriginHeader)))
+          .data_centre;
   const auto document =
       nlohmann::json::parse(response.value().body, nullptr, false);
   const auto status = document.is_object()
--- a/standins/standin-endpoint/replicator.h
+++ b/standins/standin-endpoint/replicator.h
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "laburnumkeel/transport/http_client.h"
+#include "standins/common/origin.h"
 #include "standins/standin-endpoint/database.h"
 
 namespace laburnumkeel::standins {
@@ -17,9 +18,10 @@
 class Replicator {
  public:
   // `origin` is the value of the header `Laburnumkeel-Origin`. Nothing is sent
-  // while `may_send` is false, as for an endpoint that is down.
-  Replicator(Database& database, const std::string& address, std::string origin,
-             std::function<bool()> may_send);
+  // while `may_send` is false for the member, as for an endpoint that is down.
+  // The member's data centre is learned from its first response.
+  Replicator(Database& database, Origin member, const std::string& address,
+             std::string origin, std::function<bool(const Origin&)> may_send);
   ~Replicator();
   Replicator(const Replicator&) = delete;
   Replicator& operator=(const Replicator&) = delete;
@@ -35,9 +37,10 @@
   bool Send(const Replication& replication);
 
   Database& database;
+  Origin member;
   transport::HttpClient client;
   const std::string origin;
-  const std::function<bool()> may_send;
+  const std::function<bool(const Origin&)> may_send;
   // Position up to which the member is assumed to have the log.
   std::uint64_t member_position = 0;
   std::atomic<bool> stopping = false;
--- a/standins/standin-endpoint/standin_endpoint.cpp
+++ b/standins/standin-endpoint/standin_endpoint.cpp
@@ -12,12 +12,27 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds kStatusTimeout{500};
+
 DatabaseOptions ToDatabaseOptions(const EndpointSettings& settings) {
   return DatabaseOptions{
-      settings.name, settings.group, settings.initial_primary,
+      settings.name, settings.group,
       std::chrono::milliseconds(settings.replication_lag_ms)};
 }
 
+std::string OwnOrigin(const EndpointSettings& settings) {
+  return settings.name + "/" + settings.data_centre;
+}
+
+std::vector<std::pair<std::string, std::string>> OtherMembers(
+    const EndpointSettings& settings) {
+  auto members = *ParseNamedAddresses(settings.members);
+  std::erase_if(members, [&](const auto& member) {
+    return member.first == settings.name;
+  });
+  return members;
+}
+
 StandinServerOptions ToServerOptions(const EndpointSettings& settings,
                                      const LatencyTable& latencies) {
   return StandinServerOptions{
@@ -49,6 +64,7 @@
     : settings(settings),
       latencies(
           LatencyTable::Parse(settings.latencies).value_or(LatencyTable{})),
+      members(OtherMembers(settings)),
       database(ToDatabaseOptions(settings)),
       slots(settings.slots),
       member_calls(this->database, this->latencies),
@@ -56,19 +72,21 @@
              [this] { return this->MakeHandler(); }),
       faults_server(settings.faults_listen, transport::ServerLimits{}) {
   this->AddFaultPortRoutes();
-  const auto members = ParseNamedAddresses(settings.members);
-  for (const auto& [name, address] : *members) {
-    if (name != settings.name) {
-      this->replicators.push_back(std::make_unique<Replicator>(
-          this->database, address, settings.name + "/" + settings.data_centre,
-          [this, member = name] { return this->MaySendTo(member); }));
-    }
+  for (const auto& [name, address] : this->members) {
+    this->replicators.push_back(std::make_unique<Replicator>(
+        this->database, Origin{name, ""}, address, OwnOrigin(settings),
+        [this](const Origin& member) { return this->MaySendTo(member); }));
   }
 }
 
 StandinEndpoint::~StandinEndpoint() { this->Stop(); }
 
 bool StandinEndpoint::Start() {
+  // A restarted primary with an empty log would write different entries into
+  // the positions of its former term.
+  if (this->settings.initial_primary && !this->GroupHasLog()) {
+    this->database.BeginFirstTerm();
+  }
   if (!this->server.Start() || !this->faults_server.Start()) {
     return false;
   }
@@ -100,9 +118,13 @@
     return calls->Admit(request);
   };
   handler.execute = [this, calls](const transport::HttpRequest& request) {
-    return StatementCalls::IsStatementCall(request)
-               ? calls->Execute(request)
-               : this->member_calls.Execute(request);
+    transport::HttpResponse response =
+        StatementCalls::IsStatementCall(request)
+            ? calls->Execute(request)
+            : this->member_calls.Execute(request);
+    // Tells a primary the data centre of its member.
+    response.headers[std::string(kOriginHeader)] = OwnOrigin(this->settings);
+    return response;
   };
   handler.answered = [calls] { calls->Answered(); };
   return handler;
@@ -123,10 +145,31 @@
       });
 }
 
-bool StandinEndpoint::MaySendTo(const std::string& member) const {
+bool StandinEndpoint::MaySendTo(const Origin& member) const {
   const FaultPlan& faults = this->server.Faults();
-  return !faults.IsDown() && !faults.IsFrozen() &&
-         !faults.IsCut(Origin{member, ""});
+  return !faults.IsDown() && !faults.IsFrozen() && !faults.IsCut(member);
+}
+
+bool StandinEndpoint::GroupHasLog() const {
+  const transport::HttpRequest request{
+      "GET",
+      "/v1/status",
+      {{std::string(kOriginHeader), OwnOrigin(this->settings)}},
+      "",
+      {}};
+  for (const auto& [name, address] : this->members) {
+    transport::HttpClient client(address, transport::ConnectionLimits{});
+    const auto response = client.Send(request, kStatusTimeout);
+    const auto status =
+        response.has_value()
+            ? model::EndpointStatusFromJson(
+                  nlohmann::json::parse(response.value().body, nullptr, false))
+            : std::nullopt;
+    if (status.has_value() && status->log_end.position > 0) {
+      return true;
+    }
+  }
+  return false;
 }
 
 }  // namespace laburnumkeel::standins
--- a/standins/standin-endpoint/standin_endpoint.h
+++ b/standins/standin-endpoint/standin_endpoint.h
@@ -2,10 +2,13 @@
 #define LABURNUMKEEL_STANDINS_ENDPOINT_STANDIN_ENDPOINT_H_
 
 #include <memory>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "laburnumkeel/kernel/service.h"
 #include "laburnumkeel/transport/http_server.h"
+#include "standins/common/origin.h"
 #include "standins/common/standin_server.h"
 #include "standins/standin-endpoint/endpoint_settings.h"
 #include "standins/standin-endpoint/execution_counter.h"
@@ -16,7 +19,8 @@
 namespace laburnumkeel::standins {
 
 // One database endpoint with its faults port. Needs settings whose lists are
-// well formed.
+// well formed. The log is kept in memory only: a restarted endpoint is an empty
+// replica, which the primary fills again.
 class StandinEndpoint final : public kernel::Service {
  public:
   explicit StandinEndpoint(const EndpointSettings& settings);
@@ -28,10 +32,14 @@
  private:
   ConnectionHandler MakeHandler();
   void AddFaultPortRoutes();
-  bool MaySendTo(const std::string& member) const;
+  bool MaySendTo(const Origin& member) const;
+  // True when another member has entries already.
+  bool GroupHasLog() const;
 
   const EndpointSettings settings;
   const LatencyTable latencies;
+  // Name and address of the other members.
+  const std::vector<std::pair<std::string, std::string>> members;
   Database database;
   SlotPool slots;
   ExecutionCounter executions;
--- a/tests/standins/database_test.cpp
+++ b/tests/standins/database_test.cpp
@@ -46,6 +46,8 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void setUp() override { this->primary.BeginFirstTerm(); }
+
   // Guards against a write on a former primary or in another term (I2).
   void ExecutesWritesOnlyInItsTerm() {
     AssertRefused(Refusal::kNotPrimary, this->Put(this->replica, 0));
@@ -231,8 +233,8 @@
     CPPUNIT_ASSERT(this->replica.Replicate(*this->primary.EntriesAfter(0), {}));
   }
 
-  Database primary{DatabaseOptions{"db1", "g", true, milliseconds(0)}};
-  Database replica{DatabaseOptions{"db2", "g", false, kLag}};
+  Database primary{DatabaseOptions{"db1", "g", milliseconds(0)}};
+  Database replica{DatabaseOptions{"db2", "g", kLag}};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DatabaseTest);
--- a/tests/standins/endpoint_group.h
+++ b/tests/standins/endpoint_group.h
@@ -33,11 +33,20 @@
       settings.record_received = true;
       settings.connect_delay_ms = 1;
       settings.latencies = "far=40";
-      this->endpoints.push_back(
-          std::make_unique<standins::StandinEndpoint>(settings));
-      if (!this->endpoints.back()->Start()) {
-        throw std::runtime_error("cannot start " + settings.name);
-      }
+      this->all_settings.push_back(settings);
+      this->endpoints.emplace_back();
+      this->Restart(index);
+    }
+  }
+
+  // Starts the endpoint as a new process would.
+  void Restart(int index) {
+    auto& endpoint = this->endpoints[index];
+    endpoint.reset();
+    endpoint =
+        std::make_unique<standins::StandinEndpoint>(this->all_settings[index]);
+    if (!endpoint->Start()) {
+      throw std::runtime_error("cannot start an endpoint");
     }
   }
 
@@ -66,6 +75,7 @@
   }
 
  private:
+  std::vector<standins::EndpointSettings> all_settings;
   std::vector<std::unique_ptr<standins::StandinEndpoint>> endpoints;
 };
 
--- a/tests/standins/endpoint_test.cpp
+++ b/tests/standins/endpoint_test.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(ReplicatesAndOverwritesDivergedTail);
   CPPUNIT_TEST(FormerPrimaryRefusesAfterSeal);
   CPPUNIT_TEST(ReplicationStopsWhileDown);
+  CPPUNIT_TEST(RestartedPrimaryIsReplica);
   CPPUNIT_TEST(TransactionEndsWithItsConnection);
   CPPUNIT_TEST(RefusesWithoutSlot);
   CPPUNIT_TEST(RecordsReceivedBytes);
@@ -26,7 +27,7 @@
     const EndpointGroup group(3);
     this->Execute(0, "r1", "PUT k old");
     CPPUNIT_ASSERT(this->AllAt(2));
-    EndpointGroup::SetFault(0, {{"mode", "cut"}, {"origins", {"db1", "db2"}}});
+    EndpointGroup::SetFault(0, {{"mode", "cut"}, {"origins", {"db1", "dc2"}}});
     this->Execute(0, "r2", "PUT k lost");
     this->Execute(0, "r3", "PUT k lost");
     this->Promote(1, {1, 2});
@@ -72,6 +73,21 @@
         [] { return EndpointGroup::Status(1)["staleness_ms"] < 200; }));
   }
 
+  // Guards against a restarted primary that writes other entries into
+  // positions which its replicas hold.
+  void RestartedPrimaryIsReplica() {
+    EndpointGroup group(2);
+    this->Execute(0, "r1", "PUT k v");
+    CPPUNIT_ASSERT(
+        Eventually([] { return EndpointGroup::Status(1)["position"] == 2; }));
+    group.Restart(0);
+    CPPUNIT_ASSERT_EQUAL(json("replica"), EndpointGroup::Status(0)["role"]);
+    this->Promote(1, {0, 1});
+    CPPUNIT_ASSERT(
+        Eventually([] { return EndpointGroup::Status(0)["position"] == 3; }));
+    CPPUNIT_ASSERT_EQUAL(json("v"), this->Execute(0, "r2", "GET k")["result"]);
+  }
+
   // Guards against an open transaction that is committed, or holds its slot,
   // after its connection was lost.
   void TransactionEndsWithItsConnection() {
