--- a/programs/laburnumkeel-control/group_watch.cpp
+++ b/programs/laburnumkeel-control/group_watch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <random>
+#include <thread>
 #include <utility>
 
 #include "laburnumkeel/kernel/event_log.h"
@@ -13,6 +14,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds kPollInterval{500};
+// Time that a watcher gives the one before it to move the primary; a planned
+// promotion takes up to 2 s.
+constexpr kernel::Duration kMoveDelay = std::chrono::milliseconds(2500);
+constexpr std::chrono::milliseconds kMovePollInterval{20};
 
 }  // namespace
 
@@ -37,6 +42,8 @@
   this->Poll();
   if (this->detector.IsDue()) {
     this->PromoteAfterFailure();
+  } else {
+    this->MoveDepartingPrimary();
   }
   this->PublishPending();
   return std::max<kernel::Duration>(kPollInterval - (this->clock.Now() - began),
@@ -77,6 +84,82 @@
   this->Finish(this->promoter.Promote(request));
 }
 
+void GroupWatch::MoveDepartingPrimary() {
+  const std::string primary = this->detector.Primary();
+  if (primary.empty() || this->IsInService(primary)) {
+    this->departing_since.reset();
+    return;
+  }
+  const kernel::Instant now = this->clock.Now();
+  if (!this->departing_since.has_value()) {
+    this->departing_since = now;
+  }
+  const std::string target = this->BestSuccessor(primary);
+  if (now - *this->departing_since < *this->rank * kMoveDelay ||
+      target.empty()) {
+    return;
+  }
+  this->MovePrimary(primary, target);
+  this->departing_since.reset();
+}
+
+void GroupWatch::MovePrimary(const std::string& primary,
+                             const std::string& target) {
+  promotion::PlannedPromotion<kernel::BootClock, EndpointMembers,
+                              platform::SharedTable>
+      planned(this->clock, this->members, this->promoter,
+              promotion::PlannedPromotionRequest{
+                  this->group.name, this->MemberNames(), primary, target});
+  const auto started = planned.Start();
+  if (!started.has_value()) {
+    this->detector.ObserveTerm(started.error().highest_term);
+    return;
+  }
+  while (true) {
+    const auto polled = planned.Poll();
+    if (!polled.has_value()) {
+      this->Finish(polled.error());
+      return;
+    }
+    if (polled.value().has_value()) {
+      this->Finish(*polled.value());
+      return;
+    }
+    std::this_thread::sleep_for(kMovePollInterval);
+  }
+}
+
+bool GroupWatch::IsInService(const std::string& endpoint) const {
+  const auto configuration = this->state.Configuration();
+  for (const model::Endpoint& member : this->group.endpoints) {
+    if (member.name != endpoint) {
+      continue;
+    }
+    return member.availability == model::Availability::kIn &&
+           std::none_of(configuration->data_centres.begin(),
+                        configuration->data_centres.end(),
+                        [&](const model::DataCentre& data_centre) {
+                          return data_centre.name == member.data_centre &&
+                                 data_centre.availability ==
+                                     model::Availability::kOut;
+                        });
+  }
+  return false;
+}
+
+std::string GroupWatch::BestSuccessor(const std::string& primary) const {
+  std::string best;
+  model::LogPosition best_end;
+  for (const auto& [name, status] : this->statuses) {
+    if (name != primary && this->IsInService(name) &&
+        (best.empty() || best_end < status.log_end)) {
+      best = name;
+      best_end = status.log_end;
+    }
+  }
+  return best;
+}
+
 void GroupWatch::Finish(
     const kernel::Result<promotion::PromotionResult, promotion::PromotionError>&
         result) {
@@ -85,7 +168,7 @@
     this->unpublished = result.value();
     return;
   }
-  this->detector.OnLostRace(result.error().highest_term);
+  this->detector.OnFailedPromotion(result.error().highest_term);
 }
 
 void GroupWatch::PublishPending() {
--- a/programs/laburnumkeel-control/group_watch.h
+++ b/programs/laburnumkeel-control/group_watch.h
@@ -10,14 +10,16 @@
 #include "laburnumkeel/kernel/periodic_task.h"
 #include "laburnumkeel/platform/shared_table.h"
 #include "laburnumkeel/promotion/failure_detector.h"
+#include "laburnumkeel/promotion/planned_promotion.h"
 #include "laburnumkeel/promotion/promoter.h"
 #include "programs/laburnumkeel-control/endpoint_members.h"
 #include "programs/laburnumkeel-control/fleet_state.h"
 
 namespace laburnumkeel::control {
 
-// Watches one group while this VM is among its watchers, and promotes when the
-// primary is silent.
+// Watches one group while this VM is among its watchers: promotes when the
+// primary is silent, and moves the primary away from an endpoint or a data
+// centre that operators take out.
 class GroupWatch {
  public:
   GroupWatch(const ControlSettings& settings, FleetState& state,
@@ -33,10 +35,17 @@
   void UpdateRank();
   void Poll();
   void PromoteAfterFailure();
+  // Moves the primary when it has been out of service for this rank's delay.
+  void MoveDepartingPrimary();
+  void MovePrimary(const std::string& primary, const std::string& target);
   void Finish(const kernel::Result<promotion::PromotionResult,
                                    promotion::PromotionError>& result);
   void PublishPending();
   std::vector<std::string> MemberNames() const;
+  // Whether operators left the endpoint and its data centre in service.
+  bool IsInService(const std::string& endpoint) const;
+  // The member in service with the greatest log end; empty without one.
+  std::string BestSuccessor(const std::string& primary) const;
 
   const ControlSettings settings;
   FleetState& state;
@@ -48,6 +57,7 @@
   std::optional<unsigned> rank;
   std::map<std::string, model::EndpointStatus> statuses;
   std::optional<promotion::PromotionResult> unpublished;
+  std::optional<kernel::Instant> departing_since;
   kernel::PeriodicTask task;
 };
 
--- a/standins/standin-fleet/child_process.cpp
+++ b/standins/standin-fleet/child_process.cpp
@@ -55,6 +55,9 @@
 }
 
 int ChildProcess::Terminate(std::chrono::milliseconds timeout) {
+  if (this->process_id <= 0) {
+    return 0;
+  }
   this->RequestTermination();
   const auto deadline = std::chrono::steady_clock::now() + timeout;
   while (this->process_id > 0) {
--- a/standins/standin-fleet/child_process.h
+++ b/standins/standin-fleet/child_process.h
@@ -21,7 +21,7 @@
   ChildProcess& operator=(ChildProcess&& other) noexcept;
 
   // Sends SIGTERM and waits. Returns the exit code; after `timeout` the process
-  // is killed and the result is -1.
+  // is killed and the result is -1. 0 when the process was killed before.
   int Terminate(std::chrono::milliseconds timeout);
 
   // Sends SIGTERM without waiting.
--- a/standins/standin-fleet/fleet.cpp
+++ b/standins/standin-fleet/fleet.cpp
@@ -18,6 +18,7 @@
 constexpr milliseconds kStartTimeout{30000};
 constexpr milliseconds kStopTimeout{15000};
 constexpr milliseconds kPollInterval{50};
+constexpr int kOk = 200;
 constexpr char kFleetSecret[] = "fleet-secret-for-tests-0123456789";
 constexpr char kAdministratorSecret[] = "administrator-secret-for-tests";
 
@@ -151,16 +152,20 @@
 bool Fleet::ApplyConfiguration() const {
   const auto deadline = std::chrono::steady_clock::now() + kStartTimeout;
   const std::string document = Encode(BuildConfiguration(this->deployment));
+  const std::map<std::string, std::string> headers{
+      {"Authorization", std::string("Bearer ") + kAdministratorSecret}};
+  const std::string address = VmAddress(this->deployment, 0, kAdminPort);
   while (std::chrono::steady_clock::now() < deadline) {
-    const FleetResponse response = this->Send(
-        VmAddress(this->deployment, 0, kAdminPort),
+    const FleetResponse applied = this->Send(
+        address,
         transport::HttpRequest{
-            "PUT",
-            "/v1/configuration?base_version=0",
-            {{"Authorization", std::string("Bearer ") + kAdministratorSecret}},
-            document,
-            {}});
-    if (response.status == 200) {
+            "PUT", "/v1/configuration?base_version=0", headers, document, {}});
+    // A change whose distribution was not confirmed in time is in effect too.
+    const FleetResponse current = this->Send(
+        address,
+        transport::HttpRequest{"GET", "/v1/configuration", headers, "", {}});
+    if (applied.status == kOk ||
+        current.body.find(this->deployment.service) != std::string::npos) {
       return true;
     }
     std::this_thread::sleep_for(kPollInterval);
