--- a/programs/laburnumkeel-ctl/commands.cpp
+++ b/programs/laburnumkeel-ctl/commands.cpp
@@ -64,7 +64,8 @@
     return kRefusedCode;
   }
   this->WriteDifference(*current, *document);
-  const std::uint64_t base = base_version.value_or(current->version);
+  const std::uint64_t base = base_version.value_or(
+      document->version > 0 ? document->version : current->version);
   // The operation id makes the repetition after a lost response safe.
   return this->Finish(this->client.CallRepeatedly(
       "PUT",
--- a/programs/laburnumkeel-ctl/commands.h
+++ b/programs/laburnumkeel-ctl/commands.h
@@ -26,7 +26,8 @@
   // Needs no connection.
   int Validate(const std::string& path);
   int Diff(const std::string& path);
-  // Replaces `base_version`, or without it the version that is current now.
+  // Replaces `base_version`, or without it the version that the document names,
+  // as one printed by `Show` does, or else the version that is current now.
   int Apply(const std::string& path, std::optional<std::uint64_t> base_version);
   int Show();
   int Grant(const std::string& account);
--- a/programs/laburnumkeel-ctl/main.cpp
+++ b/programs/laburnumkeel-ctl/main.cpp
@@ -102,7 +102,8 @@
       command->add_option("file", values.file, "JSON document")->required();
     }
     apply->add_option("--base-version", values.base_version,
-                      "version that the document replaces; default: current");
+                      "version that the document replaces; default: the one it "
+                      "names, or the current one if it names none");
   }
 
   void AddKeyCommands() {
--- a/tests/admin/commands_test.cpp
+++ b/tests/admin/commands_test.cpp
@@ -55,6 +55,11 @@
     document.version = 2;
     CPPUNIT_ASSERT(this->control.store.Read().value() == document);
     CPPUNIT_ASSERT_EQUAL(kRefusedCode, this->commands.Apply(kPath, 1));
+    // A document that was printed before another change.
+    document.version = 1;
+    this->Write(document);
+    CPPUNIT_ASSERT_EQUAL(kRefusedCode,
+                         this->commands.Apply(kPath, std::nullopt));
     CPPUNIT_ASSERT(this->errors.str().find("current version is 2") !=
                    std::string::npos);
   }
