Close a gap in freshness after pauses, and adopt the winning version on a conflict

A VM announces version 0 until it is synchronized. The look-up of a key no longer holds the lock that all requests share during its HMAC.

--- a/programs/laburnumkeel-control/configuration_service.cpp
+++ b/programs/laburnumkeel-control/configuration_service.cpp
@@ -21,7 +21,9 @@
 // Each VM that adopts a version tells this many others, so a signal reaches n
 // VMs in about log3(n) steps without a VM that calls all of them.
 constexpr std::size_t kSignalledPeers = 3;
-constexpr kernel::Duration kDistributionTime = std::chrono::seconds(4);
+// Longer than the 4 s for which a VM that died still counts as a contact of its
+// data centre.
+constexpr kernel::Duration kDistributionTime = std::chrono::seconds(5);
 
 std::vector<membership::VmRecord> ToRecords(
     const std::vector<platform::ListedVm>& listed) {
@@ -158,6 +160,10 @@
   const configuration::Proposal proposal = this->store.Propose(
       std::move(decoded.value()), base_version, operation_id);
   if (proposal.result != configuration::ProposalResult::kAccepted) {
+    // After a conflict the caller needs the version that won.
+    if (proposal.current.has_value()) {
+      this->state.Adopt(*proposal.current, "conflict");
+    }
     std::vector<std::string> faults;
     for (const configuration::Fault& fault : proposal.faults) {
       faults.push_back(configuration::ToString(fault));
--- a/programs/laburnumkeel-control/fleet_state.cpp
+++ b/programs/laburnumkeel-control/fleet_state.cpp
@@ -28,22 +28,26 @@
                 membership::VmRecord{settings.vm, settings.data_centre,
                                      settings.peer_listen, "", false}) {}
 
-peer::generated::PeerState FleetState::OwnState() const {
+peer::generated::PeerState FleetState::OwnState() {
   peer::generated::PeerState state;
   state.vm = this->settings.vm;
   state.incarnation = this->incarnation;
   state.data_centre = this->settings.data_centre;
   state.control_address = this->settings.peer_listen;
   state.leaving = this->leaving;
-  // The proof is read before the version. In the other order a proof of a
-  // newer version could be told with the older one, as if that were newest.
-  const auto proof_age = this->freshness.ProofAge();
+  const configuration::PeerEvidence evidence =
+      this->freshness.Announce(this->settings.vm);
+  // A starting VM knows what a minority told it, which must not count as the
+  // answer of a VM that is up to date.
+  const bool is_ready = this->IsReady();
   state.configuration_version =
-      static_cast<std::int64_t>(this->Configuration()->version);
-  state.proof_age_ms = proof_age.has_value() ? ToMilliseconds(*proof_age) : -1;
+      is_ready ? static_cast<std::int64_t>(evidence.version) : 0;
+  state.proof_age_ms = is_ready && evidence.proof_age.has_value()
+                           ? ToMilliseconds(*evidence.proof_age)
+                           : -1;
   state.reaches_store = this->freshness.ReachesStore();
   for (const configuration::DataCentreContact& contact :
-       this->freshness.Contacts()) {
+       evidence.contacts) {
     peer::generated::Contact item;
     item.data_centre = contact.data_centre;
     item.age_ms = ToMilliseconds(contact.age);
@@ -57,6 +61,7 @@
                               kernel::Instant sent) {
   const auto version = static_cast<std::uint64_t>(answer.configuration_version);
   configuration::PeerEvidence evidence;
+  evidence.vm = answer.vm;
   evidence.data_centre = answer.data_centre;
   evidence.version = version;
   if (answer.proof_age_ms >= 0) {
@@ -155,7 +160,7 @@
   return this->sync.IsPollDue(others);
 }
 
-std::vector<peer::generated::VmStatus> FleetState::FleetStatus() const {
+std::vector<peer::generated::VmStatus> FleetState::FleetStatus() {
   std::vector<peer::generated::VmStatus> result;
   const auto add = [&](const peer::generated::PeerState& state,
                        std::int64_t age_ms) {
--- a/programs/laburnumkeel-control/fleet_state.h
+++ b/programs/laburnumkeel-control/fleet_state.h
@@ -30,7 +30,7 @@
   }
 
   // What this VM tells its peers.
-  peer::generated::PeerState OwnState() const;
+  peer::generated::PeerState OwnState();
 
   // Takes a peer's answer to an exchange sent at `sent`.
   void OnPeerAnswer(const peer::generated::PeerState& answer,
@@ -72,7 +72,7 @@
   }
   bool IsPollDue();
 
-  std::vector<peer::generated::VmStatus> FleetStatus() const;
+  std::vector<peer::generated::VmStatus> FleetStatus();
 
  private:
   // The last state that a peer answered with, for the fleet status.
--- a/programs/laburnumkeel-entry/access_gate.h
+++ b/programs/laburnumkeel-entry/access_gate.h
@@ -65,13 +65,15 @@
   // All errors are `not_run`.
   kernel::Result<AuthorizedCaller, CallerError> Authorize(
       const std::string& key) const {
-    const std::lock_guard lock(this->mutex);
+    // The HMAC of the look-up runs outside the lock, which all requests share.
+    const auto keys = this->Keys();
     const model::ClientAccount* account =
-        this->index == nullptr ? nullptr : this->index->FindAccount(key);
+        keys == nullptr ? nullptr : keys->FindAccount(key);
     if (account == nullptr) {
       return CallerError{401, "unknown_key", "the key is missing or not valid",
                          model::Outcome::kNotRun};
     }
+    const std::lock_guard lock(this->mutex);
     if (!this->IsFresh(account->service)) {
       return CallerError{
           503, "key_state_unknown",
@@ -108,6 +110,11 @@
   }
 
  private:
+  std::shared_ptr<const configuration::KeyIndex> Keys() const {
+    const std::lock_guard lock(this->mutex);
+    return this->index;
+  }
+
   bool IsFresh(const std::string& service) const {
     if (!this->report.has_value()) {
       return false;
