--- a/src/laburnumkeel/routing/write_confirmation.cpp
+++ b/src/laburnumkeel/routing/write_confirmation.cpp
@@ -7,12 +7,16 @@
 namespace {
 
 // A last entry of the same term at or above the position proves that the log
-// holds the write. A last entry of another term proves nothing.
+// holds the write. A last entry of another term proves nothing. The member must
+// also have sealed no higher term: while it catches up with a later primary,
+// its last entry passes through earlier terms, and such an entry can still be
+// replaced by one of a term in between.
 bool Holds(const MemberState& member, const ExecutedWrite& write) {
   if (member.endpoint == write.primary) {
     return true;
   }
   return member.measurement &&
+         member.measurement->status.sealed_term == write.position.term &&
          member.measurement->status.log_end.term == write.position.term &&
          member.measurement->status.log_end.position >= write.position.position;
 }
