--- a/tests/promotion/failover_time_test.cpp
+++ b/tests/promotion/failover_time_test.cpp
@@ -24,7 +24,7 @@
 // until its timeout when the member is cut off.
 class Watcher {
  public:
-  Watcher(ManualClock clock, unsigned rank, FakeGroup connection,
+  Watcher(const ManualClock& clock, unsigned rank, FakeGroup connection,
           milliseconds offset)
       : clock(clock),
         name(std::to_string(rank)),
