--- a/src/laburnumkeel/endpoints/pool_state.h
+++ b/src/laburnumkeel/endpoints/pool_state.h
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "laburnumkeel/endpoints/acquire_request.h"
@@ -74,10 +75,16 @@
     while (!this->closed) {
       this->RetireIdle();
       if (this->established >= this->settings.maximum_connections) {
-        this->opener_signal.wait_for(lock, kMaintenanceInterval, [this] {
-          return this->closed ||
-                 this->established < this->settings.maximum_connections;
-        });
+        const bool has_changed =
+            this->opener_signal.wait_for(lock, kMaintenanceInterval, [this] {
+              return this->closed ||
+                     this->established < this->settings.maximum_connections;
+            });
+        backoff = has_changed ? backoff : kInitialBackoff;
+        continue;
+      }
+      if (std::exchange(this->has_short_lived, false)) {
+        this->WaitBackoff(lock, backoff);
         continue;
       }
       lock.unlock();
@@ -85,16 +92,13 @@
       lock.lock();
       if (opened.has_value()) {
         this->AddOpened(std::move(opened.value()));
-        backoff = kInitialBackoff;
         continue;
       }
       this->open_failed = true;
       if (this->established == 0) {
         this->RefuseAll(NotRun(codes::kConnectFailed, opened.error().message));
       }
-      this->opener_signal.wait_for(lock, backoff,
-                                   [this] { return this->closed; });
-      backoff = std::min(backoff * 2, kMaximumBackoff);
+      this->WaitBackoff(lock, backoff);
     }
   }
 
@@ -116,11 +120,15 @@
   }
 
  private:
+  static constexpr std::string_view kClosedByEndpoint = "closed_by_endpoint";
   static constexpr kernel::Duration kInitialBackoff =
       std::chrono::milliseconds(50);
   static constexpr kernel::Duration kMaximumBackoff = std::chrono::seconds(1);
   static constexpr kernel::Duration kMaintenanceInterval =
       std::chrono::seconds(1);
+  // An endpoint that closes younger connections would be sent one connection
+  // after the other without a pause.
+  static constexpr kernel::Duration kShortLife = std::chrono::seconds(1);
   // Condition variables measure time without suspended time, so a waiter looks
   // at its own clock at least this often.
   static constexpr kernel::Duration kDeadlineCheckInterval =
@@ -208,7 +216,7 @@
   // Why the connection cannot be used; empty when it can.
   std::string_view Check(PooledConnection& pooled, kernel::Instant deadline) {
     if (!pooled.connection.IsUsable()) {
-      return "closed_by_endpoint";
+      return kClosedByEndpoint;
     }
     const kernel::Instant now = this->clock.Now();
     if (now - pooled.last_used < this->settings.probe_after) {
@@ -295,11 +303,18 @@
            this->clock.Now() - pooled.opened_at >= this->settings.maximum_age;
   }
 
+  void WaitBackoff(std::unique_lock<std::mutex>& lock,
+                   kernel::Duration& backoff) {
+    this->opener_signal.wait_for(lock, backoff,
+                                 [this] { return this->closed; });
+    backoff = std::min(backoff * 2, kMaximumBackoff);
+  }
+
   void RetireIdle() {
     for (std::size_t count = this->idle.size(); count > 0; --count) {
       const PooledConnection& first = this->idle.front();
       if (!first.connection.IsUsable()) {
-        this->CloseFirstIdle("closed_by_endpoint");
+        this->CloseFirstIdle(kClosedByEndpoint);
       } else if (this->MayRetire(first)) {
         this->CloseFirstIdle("maximum_age");
       } else {
@@ -313,6 +328,10 @@
     // The socket is closed before its place is free, so the endpoint never sees
     // more connections than the limit.
     this->idle.front().connection.Close();
+    if (reason == kClosedByEndpoint &&
+        this->clock.Now() - this->idle.front().opened_at < kShortLife) {
+      this->has_short_lived = true;
+    }
     this->idle.pop_front();
     --this->established;
     this->warm = this->warm && this->established > 0;
@@ -373,6 +392,8 @@
   std::size_t transactions = 0;
   // The last attempt to open a connection failed.
   bool open_failed = false;
+  // A connection younger than `kShortLife` was closed by the endpoint.
+  bool has_short_lived = false;
   bool warm = false;
   bool closed = false;
 };
--- a/tests/endpoints/endpoint_pool_test.cpp
+++ b/tests/endpoints/endpoint_pool_test.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(OpensAllConnectionsInAdvanceAndNoMore);
   CPPUNIT_TEST(RefusesAtTheDeadline);
   CPPUNIT_TEST(RefusesAtOnceWithoutEndpoint);
+  CPPUNIT_TEST(PausesWhenTheEndpointClosesNewConnections);
   CPPUNIT_TEST(NeverHandsOutAClosedConnection);
   CPPUNIT_TEST(ProbesAnIdleConnection);
   CPPUNIT_TEST(ReplacesAnOldConnection);
@@ -99,6 +100,19 @@
                    std::chrono::seconds(1));
   }
 
+  // Guards against connecting in a busy loop: the shortest pause between
+  // attempts is 50 ms.
+  void PausesWhenTheEndpointClosesNewConnections() {
+    this->server.SetStatusReply(Reply::kCompleteThenClose);
+    const auto start = std::chrono::steady_clock::now();
+    Pool pool(this->Settings(1), this->clock);
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    const std::size_t calls = this->server.StatusCalls();
+    const auto elapsed = std::chrono::steady_clock::now() - start;
+    CPPUNIT_ASSERT(calls <= 1 + static_cast<std::size_t>(
+                                    elapsed / std::chrono::milliseconds(50)));
+  }
+
   // Guards against a request sent on a kept connection that the far end closed.
   void NeverHandsOutAClosedConnection() {
     Pool pool(this->Settings(2), this->clock);
