--- a/tests/endpoints/endpoint_pool_test.cpp
+++ b/tests/endpoints/endpoint_pool_test.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(OpensAllConnectionsInAdvanceAndNoMore);
   CPPUNIT_TEST(RefusesAtTheDeadline);
   CPPUNIT_TEST(RefusesAtOnceWithoutEndpoint);
+  CPPUNIT_TEST(PausesWhenTheEndpointClosesNewConnections);
   CPPUNIT_TEST(NeverHandsOutAClosedConnection);
   CPPUNIT_TEST(ProbesAnIdleConnection);
   CPPUNIT_TEST(ReplacesAnOldConnection);
@@ -89,6 +90,27 @@
     CPPUNIT_ASSERT_EQUAL(std::string(codes::kConnectFailed), error.code);
     CPPUNIT_ASSERT(error.outcome == model::Outcome::kNotRun);
     CPPUNIT_ASSERT(!pool.IsWarm());
+    // Further requests do not wait for the next attempt to connect either; the
+    // first five intervals between attempts add up to 1.5 s.
+    const auto start = std::chrono::steady_clock::now();
+    for (int request = 0; request < 6; ++request) {
+      CPPUNIT_ASSERT(!pool.Acquire(this->Request("a")).has_value());
+    }
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start <
+                   std::chrono::seconds(1));
+  }
+
+  // Guards against connecting in a busy loop: the shortest pause between
+  // attempts is 50 ms.
+  void PausesWhenTheEndpointClosesNewConnections() {
+    this->server.SetStatusReply(Reply::kCompleteThenClose);
+    const auto start = std::chrono::steady_clock::now();
+    Pool pool(this->Settings(1), this->clock);
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    const std::size_t calls = this->server.StatusCalls();
+    const auto elapsed = std::chrono::steady_clock::now() - start;
+    CPPUNIT_ASSERT(calls <= 1 + static_cast<std::size_t>(
+                                    elapsed / std::chrono::milliseconds(50)));
   }
 
   // Guards against a request sent on a kept connection that the far end closed.
