--- a/src/laburnumkeel/limits/account_limiter.h
+++ b/src/laburnumkeel/limits/account_limiter.h
@@ -23,7 +23,7 @@
   explicit AccountLimiter(ClockType clock) : clock(std::move(clock)) {}
 
   // Takes a token for one request of an authenticated account. Every call
-  // counts as demand, whatever the decision.
+  // counts as demand, whatever the decision. The decision is final.
   LimitDecision TryTake(const std::string& account) {
     const std::lock_guard lock(this->mutex);
     // The time is read under the lock, so that it does not go backwards
@@ -31,6 +31,26 @@
     return this->accounts[account].TryTake(this->clock.Now());
   }
 
+  // As TryTake, but if the decision has a time in `retry_after`, the request
+  // waits: call Retry after that time, or StopWaiting. The number of requests
+  // that wait is bounded by what the share can serve in kMaximumWait.
+  LimitDecision TakeOrWait(const std::string& account) {
+    const std::lock_guard lock(this->mutex);
+    return this->accounts[account].TakeOrWait(this->clock.Now());
+  }
+
+  // Tries again for a request that has waited for `waited` in total.
+  LimitDecision Retry(const std::string& account, kernel::Duration waited) {
+    const std::lock_guard lock(this->mutex);
+    return this->accounts[account].Retry(waited, this->clock.Now());
+  }
+
+  // A request that waits was given up, for example by its caller.
+  void StopWaiting(const std::string& account) {
+    const std::lock_guard lock(this->mutex);
+    this->accounts[account].StopWaiting();
+  }
+
   // Replaces all shares of this VM. An account or kind that is not in
   // `shares` loses its share and tokens at once.
   void Apply(const std::vector<Share>& shares) {
@@ -72,7 +92,7 @@
   void RemoveIdle(const std::vector<Share>& shares, kernel::Instant now) {
     constexpr double kIdle = 1e-3;
     std::erase_if(this->accounts, [&](const auto& item) {
-      return item.second.Demand(now) < kIdle &&
+      return item.second.Demand(now) < kIdle && !item.second.IsWaiting() &&
              std::none_of(shares.begin(), shares.end(),
                           [&](const Share& share) {
                             return share.account == item.first;
--- a/src/laburnumkeel/limits/account_usage.cpp
+++ b/src/laburnumkeel/limits/account_usage.cpp
@@ -1,15 +1,71 @@
 #include "laburnumkeel/limits/account_usage.h"
 
+#include <algorithm>
+
 namespace laburnumkeel::limits {
 
+namespace {
+
+constexpr double kRounding = 1e-9;
+// Requests of an account that may wait on one VM although the present share
+// does not suffice for them, because the share is expected to grow.
+constexpr std::int64_t kWaitingForShare = 16;
+constexpr kernel::Duration kShortestWait = std::chrono::milliseconds(1);
+// A share that grows serves the requests that wait after this time at most.
+constexpr kernel::Duration kLongestPause = std::chrono::milliseconds(100);
+
+}  // namespace
+
 LimitDecision AccountUsage::TryTake(kernel::Instant now) {
   this->meter.Count(now);
-  if (this->bucket.TryTake(now)) {
+  const double needed = 1 + static_cast<double>(this->waiting);
+  if (this->bucket.Available(now) >= needed - kRounding &&
+      this->bucket.TryTake(now)) {
     return LimitDecision{true, LimitReason::kWithinShare};
   }
   return LimitDecision{false, this->RefusalReason(now)};
 }
 
+LimitDecision AccountUsage::TakeOrWait(kernel::Instant now) {
+  const LimitDecision decision = this->TryTake(now);
+  if (decision.is_allowed) {
+    return decision;
+  }
+  const kernel::Duration expected =
+      this->TimeUntil(1 + static_cast<double>(this->waiting), now);
+  if (expected >= kMaximumWait && this->waiting >= kWaitingForShare) {
+    return decision;
+  }
+  this->waiting += 1;
+  return LimitDecision{false, decision.reason,
+                       std::clamp(expected, kShortestWait, kLongestPause)};
+}
+
+LimitDecision AccountUsage::Retry(kernel::Duration waited,
+                                  kernel::Instant now) {
+  if (this->bucket.TryTake(now)) {
+    this->waiting -= 1;
+    return LimitDecision{true, LimitReason::kWithinShare};
+  }
+  const LimitReason reason = this->RefusalReason(now);
+  if (waited >= kMaximumWait) {
+    this->waiting -= 1;
+    return LimitDecision{false, reason};
+  }
+  return LimitDecision{
+      false, reason,
+      std::clamp(this->TimeUntil(1, now), kShortestWait, kLongestPause)};
+}
+
+kernel::Duration AccountUsage::TimeUntil(double tokens, kernel::Instant now) {
+  const double missing = tokens - this->bucket.Available(now);
+  const double rate = this->bucket.Rate(now);
+  const std::chrono::duration<double> limit = kMaximumWait;
+  const std::chrono::duration<double> time(
+      rate > 0 ? std::min(missing / rate, limit.count()) : limit.count());
+  return std::chrono::duration_cast<kernel::Duration>(time);
+}
+
 void AccountUsage::Apply(const LeasedAmount& dynamic,
                          const LeasedAmount& reserve, kernel::Instant now) {
   this->bucket.Apply(dynamic, reserve, now);
--- a/src/laburnumkeel/limits/demand_meter.cpp
+++ b/src/laburnumkeel/limits/demand_meter.cpp
@@ -9,7 +9,11 @@
 
 // Time constants of the exponential averages, in seconds.
 constexpr double kFastSeconds = 0.5;
-constexpr double kSlowSeconds = 3;
+constexpr double kSlowSeconds = 2;
+// Highest demand that is likely when the fast average is `fast`: its standard
+// deviation is about the square root for random arrivals, and a few requests a
+// second say nothing.
+double LikelyMaximum(double fast) { return fast + 3 * std::sqrt(fast) + 4; }
 
 }  // namespace
 
@@ -24,8 +28,9 @@
 
 double DemandMeter::PerSecond(kernel::Instant now) const {
   const double elapsed = this->SecondsSince(now);
-  return std::max(this->fast * std::exp(-elapsed / kFastSeconds),
-                  this->slow * std::exp(-elapsed / kSlowSeconds));
+  const double fast_now = this->fast * std::exp(-elapsed / kFastSeconds);
+  const double slow_now = this->slow * std::exp(-elapsed / kSlowSeconds);
+  return std::max(fast_now, std::min(slow_now, LikelyMaximum(fast_now)));
 }
 
 double DemandMeter::SecondsSince(kernel::Instant now) const {
--- a/src/laburnumkeel/limits/demand_meter.h
+++ b/src/laburnumkeel/limits/demand_meter.h
@@ -10,8 +10,10 @@
  public:
   void Count(kernel::Instant now);
 
-  // The larger of a fast and a slow moving average: a rise is seen at once,
-  // while a short gap does not give the share away.
+  // The larger of a fast and a slow moving average, so that a rise is seen at
+  // once and a short gap does not give the share away. The slow one counts
+  // only as far as the fast one makes it likely, so that after a drop the
+  // share soon serves the VM to which demand moved.
   double PerSecond(kernel::Instant now) const;
 
  private:
--- a/src/laburnumkeel/limits/ledger_round.h
+++ b/src/laburnumkeel/limits/ledger_round.h
@@ -68,23 +68,30 @@
     if (this->is_released) {
       return RoundReport{RoundOutcome::kReleased, false};
     }
-    std::uint64_t version = 0;
-    ShareLedger ledger;
-    const RoundOutcome read = this->Read(ledger, version);
-    if (read != RoundOutcome::kCommitted) {
-      return this->Finish(RoundReport{read, false});
+    LedgerRead read = this->Read();
+    if (read.outcome != RoundOutcome::kCommitted) {
+      return this->Finish(RoundReport{read.outcome, false});
     }
-    const kernel::Instant now = this->clock.Now();
-    this->observer.Observe(ledger, now);
-    this->LogExpired(ledger, now);
-    const RoundView view(this->observer.WithoutExpired(ledger, now), limits,
-                         demands,
-                         RoundViewSettings{this->settings.incarnation,
-                                           this->settings.reserve_fraction},
-                         [&](const LedgerEntry& entry) {
-                           return this->observer.IsDynamicExpired(entry, now);
-                         });
-    return this->Finish(this->Update(view, limits, version));
+    const SharesByAccount lowered =
+        this->LowerAll(this->ViewOf(read, limits, demands), limits);
+    if (this->has_waited) {
+      // Others have probably written during the wait for the entry program. A
+      // VM that has to lower its shares would conflict in most rounds.
+      read = this->Read();
+      if (read.outcome != RoundOutcome::kCommitted) {
+        return this->Finish(RoundReport{read.outcome, false});
+      }
+    }
+    RoundReport report;
+    for (int attempt = 0; attempt < kAttempts; ++attempt) {
+      report = this->Update(this->ViewOf(read, limits, demands), lowered,
+                            limits, read);
+      if (report.outcome != RoundOutcome::kConflict ||
+          read.outcome != RoundOutcome::kCommitted) {
+        break;
+      }
+    }
+    return this->Finish(report);
   }
 
   // True when demand has moved so far since the last written entry that a
@@ -92,8 +99,8 @@
   bool NeedsEarlyRound(const std::vector<AccountDemand>& demands) const {
     return std::any_of(
         demands.begin(), demands.end(), [this](const AccountDemand& demand) {
-          const auto limit = this->limits_in_demand.find(demand.account);
-          return limit != this->limits_in_demand.end() &&
+          const auto limit = this->known_limits.find(demand.account);
+          return limit != this->known_limits.end() &&
                  IsMoved(demand.demand, limit->second,
                          SharesOf(this->attempts.Committed(), demand.account));
         });
@@ -104,26 +111,24 @@
   // again. Shares that are not released expire.
   RoundOutcome Release() {
     this->is_released = true;
-    std::uint64_t version = 0;
-    ShareLedger ledger;
-    const RoundOutcome read = this->Read(ledger, version);
+    LedgerRead read = this->Read();
     this->Offer({}, this->attempts.LeaseStart());
     if (!this->ConfirmOffer()) {
       return RoundOutcome::kUnknown;
     }
-    if (read != RoundOutcome::kCommitted) {
-      return read;
+    if (read.outcome != RoundOutcome::kCommitted) {
+      return read.outcome;
     }
-    if (FindEntry(ledger, this->settings.incarnation) == nullptr) {
+    if (FindEntry(read.ledger, this->settings.incarnation) == nullptr) {
       // A write of an earlier round may still arrive, but it needs this
       // version of the row; the next write of any VM rules it out.
       return this->attempts.HasUndecided() ? RoundOutcome::kUnknown
                                            : RoundOutcome::kCommitted;
     }
-    std::erase_if(ledger.entries, [this](const LedgerEntry& entry) {
+    std::erase_if(read.ledger.entries, [this](const LedgerEntry& entry) {
       return entry.incarnation == this->settings.incarnation;
     });
-    const auto result = this->Commit(ledger, version);
+    const auto result = this->Commit(read.ledger, read.version);
     if (!result.has_value()) {
       return result.error().failure == platform::PlatformFailure::kUnavailable
                  ? RoundOutcome::kStoreUnavailable
@@ -137,48 +142,79 @@
   }
 
  private:
+  // Writes in one round. The response to a conflicting write contains the new
+  // row, so that the next attempt has a shorter window for a conflict.
+  static constexpr int kAttempts = 3;
+
   using SharesByAccount = std::map<std::string, AccountShares>;
+  struct LedgerRead {
+    // kCommitted when the ledger could be read.
+    RoundOutcome outcome = RoundOutcome::kStoreUnavailable;
+    std::uint64_t version = 0;
+    ShareLedger ledger;
+  };
   using CommitResult =
       kernel::Result<platform::TransactionResult, platform::PlatformError>;
 
-  // A tenth of the limit is more than the usual fluctuation of demand.
+  // A tenth of the limit is more than the usual fluctuation of demand. An
+  // account that lacked tokens already is served by the regular rounds.
   static bool IsMoved(double demand, const ShareAmount& limit,
                       const AccountShares& written) {
     const double rate = Total(written).rate;
     const double rise = demand - written.demand;
-    const bool lacks_tokens = demand > rate && rise > limit.rate / 10;
+    const bool lacks_tokens =
+        demand > rate && written.demand <= rate && rise > limit.rate / 10;
     const bool has_spare_tokens = demand < rate && -rise > limit.rate / 10;
     return lacks_tokens || has_spare_tokens;
   }
 
   // Reads the ledger and takes in what it says about this VM's writes.
-  RoundOutcome Read(ShareLedger& ledger, std::uint64_t& version) {
+  LedgerRead Read() {
     const auto row = this->store.Read(kLedgerKey);
     if (!row.has_value()) {
-      return RoundOutcome::kStoreUnavailable;
+      return LedgerRead{RoundOutcome::kStoreUnavailable, 0, {}};
     }
-    version = row.value().version;
-    if (version != 0) {
-      const auto decoded = DecodeLedger(row.value().value);
+    return this->TakeIn(row.value());
+  }
+
+  LedgerRead TakeIn(const platform::TableRow& row) {
+    ShareLedger ledger;
+    if (row.version != 0) {
+      const auto decoded = DecodeLedger(row.value);
       if (!decoded.has_value()) {
-        return RoundOutcome::kInvalidLedger;
+        return LedgerRead{RoundOutcome::kInvalidLedger, row.version, {}};
       }
       ledger = decoded.value();
     }
     const std::uint64_t known = this->attempts.CommittedSequence();
     this->attempts.Resolve(FindEntry(ledger, this->settings.incarnation),
-                           version);
+                           row.version);
     if (this->attempts.CommittedSequence() != known && !this->is_released) {
       // A write whose response was lost did take effect.
       this->OfferUsable();
     }
-    return RoundOutcome::kCommitted;
+    return LedgerRead{RoundOutcome::kCommitted, row.version, std::move(ledger)};
   }
 
-  RoundReport Update(const RoundView& view, const FleetLimits& limits,
-                     std::uint64_t version) {
+  RoundView ViewOf(const LedgerRead& read, const FleetLimits& limits,
+                   const std::vector<AccountDemand>& demands) {
+    const kernel::Instant now = this->clock.Now();
+    this->observer.Observe(read.ledger, now);
+    this->LogExpired(read.ledger, now);
+    return RoundView(this->observer.WithoutExpired(read.ledger, now), limits,
+                     demands,
+                     RoundViewSettings{this->settings.incarnation,
+                                       this->settings.reserve_fraction},
+                     [&](const LedgerEntry& entry) {
+                       return this->observer.IsDynamicExpired(entry, now);
+                     });
+  }
+
+  // Writes this VM's entry. `read` is what the view was made from; after a
+  // conflict it is the newer ledger.
+  RoundReport Update(const RoundView& view, const SharesByAccount& lowered,
+                     const FleetLimits& limits, LedgerRead& read) {
     const std::set<std::string> accounts = this->Accounts(limits);
-    const SharesByAccount lowered = this->LowerAll(view, accounts);
     const kernel::Instant now = this->clock.Now();
     this->offers.RemoveExpired(now);
     this->sequence += 1;
@@ -189,8 +225,12 @@
                       {}};
     SharesByAccount offered;
     for (const std::string& account : accounts) {
+      const AccountView account_view = this->View(view, account);
+      const auto low = lowered.find(account);
       const AccountUpdate update =
-          Grow(this->View(view, account), lowered.at(account),
+          Grow(account_view,
+               low == lowered.end() ? AccountShares{}
+                                    : Smaller(low->second, account_view.usable),
                this->offers.InUse(account, now));
       if (view.IsConfigured(account) || !IsZero(Total(update.written))) {
         entry.accounts[account] = update.written;
@@ -198,29 +238,29 @@
       offered[account] = update.offered;
     }
     const ShareLedger next = view.With(entry);
-    const RoundOutcome outcome = this->Write(next, entry, version);
+    const RoundOutcome outcome = this->Write(next, entry, read);
     if (outcome == RoundOutcome::kCommitted) {
       this->LogChanges(view, offered);
       this->Offer(offered, this->attempts.LeaseStart());
     }
-    this->Remember(view, next, limits);
+    this->Remember(view, limits);
     return RoundReport{outcome, view.IsShort(next)};
   }
 
   // Lowers the entry program's shares to what this VM should keep. Returns
   // the lowered shares, confirmed or not.
-  SharesByAccount LowerAll(const RoundView& view,
-                           const std::set<std::string>& accounts) {
+  SharesByAccount LowerAll(const RoundView& view, const FleetLimits& limits) {
     SharesByAccount lowered;
     bool is_lower = false;
     const kernel::Instant now = this->clock.Now();
-    for (const std::string& account : accounts) {
+    for (const std::string& account : this->Accounts(limits)) {
       lowered[account] = Lower(this->View(view, account));
       const AccountShares in_use = this->offers.InUse(account, now);
       is_lower = is_lower ||
                  !IsAtMost(in_use.dynamic, lowered[account].dynamic) ||
                  !IsAtMost(in_use.reserve, lowered[account].reserve);
     }
+    this->has_waited = is_lower;
     if (is_lower) {
       this->LogChanges(view, lowered);
       this->Offer(lowered, this->attempts.LeaseStart());
@@ -232,17 +272,18 @@
   }
 
   RoundOutcome Write(const ShareLedger& next, const LedgerEntry& entry,
-                     std::uint64_t version) {
+                     LedgerRead& read) {
     // Lifetimes count from before the write is sent, because it may take
     // effect at any time from then on.
-    this->attempts.Add(WriteAttempt{version, this->clock.Now(), entry});
-    const CommitResult result = this->Commit(next, version);
+    this->attempts.Add(WriteAttempt{read.version, this->clock.Now(), entry});
+    const CommitResult result = this->Commit(next, read.version);
     if (result.has_value() && result.value().committed) {
-      this->attempts.Resolve(&entry, version + 1);
+      this->attempts.Resolve(&entry, read.version + 1);
       return RoundOutcome::kCommitted;
     }
     if (result.has_value()) {
       this->attempts.Remove(entry.sequence);
+      read = this->CurrentLedger(result.value());
       return RoundOutcome::kConflict;
     }
     if (result.error().failure == platform::PlatformFailure::kUnavailable) {
@@ -251,14 +292,22 @@
     }
     // The entry's sequence number stands for the operation id here: the row
     // shows the operation id of the last writer only.
-    ShareLedger ledger;
-    std::uint64_t read_version = 0;
-    this->Read(ledger, read_version);
+    this->Read();
     return this->attempts.CommittedSequence() == entry.sequence
                ? RoundOutcome::kCommitted
                : RoundOutcome::kUnknown;
   }
 
+  // The ledger in the response to a conflicting write.
+  LedgerRead CurrentLedger(const platform::TransactionResult& result) {
+    for (const platform::TableRow& row : result.rows) {
+      if (row.key == kLedgerKey) {
+        return this->TakeIn(row);
+      }
+    }
+    return this->Read();
+  }
+
   CommitResult Commit(const ShareLedger& ledger, std::uint64_t version) {
     return this->store.Commit(platform::TableTransaction{
         kernel::RandomIdentifier(),
@@ -285,17 +334,14 @@
     return accounts;
   }
 
-  void Remember(const RoundView& view, const ShareLedger& next,
-                const FleetLimits& limits) {
+  void Remember(const RoundView& view, const FleetLimits& limits) {
     this->exceeded.clear();
-    this->limits_in_demand.clear();
+    this->known_limits.clear();
     for (const AccountLimit& limit : limits.accounts) {
       if (view.IsExceeded(limit.account)) {
         this->exceeded.insert(limit.account);
       }
-      if (DemandOf(next, limit.account) <= limit.limit.rate) {
-        this->limits_in_demand[limit.account] = limit.limit;
-      }
+      this->known_limits[limit.account] = limit.limit;
     }
   }
 
@@ -391,9 +437,11 @@
   SharesByAccount offered;
   // Accounts whose limit was exceeded in the ledger of the last round.
   std::set<std::string> exceeded;
-  // Limits of the accounts whose demand was within them in the last round.
-  std::map<std::string, ShareAmount> limits_in_demand;
+  // Limits of the last round.
+  std::map<std::string, ShareAmount> known_limits;
   std::uint64_t sequence = 0;
+  // The round in progress has waited for the entry program.
+  bool has_waited = false;
   bool is_released = false;
   bool is_failing = false;
 };
--- a/src/laburnumkeel/limits/limit_decision.h
+++ b/src/laburnumkeel/limits/limit_decision.h
@@ -3,6 +3,8 @@
 
 #include <string_view>
 
+#include "laburnumkeel/kernel/clock.h"
+
 namespace laburnumkeel::limits {
 
 enum class LimitReason {
@@ -17,10 +19,18 @@
 
 std::string_view ToString(LimitReason reason);
 
+// Longest time for which a request waits for a token. A VM's bucket holds only
+// a part of the account's burst; a short wait evens out random arrivals and
+// bridges the time in which shares follow demand that moves.
+inline constexpr kernel::Duration kMaximumWait = std::chrono::seconds(1);
+
 // Whether a request may pass.
 struct LimitDecision {
   bool is_allowed = false;
   LimitReason reason = LimitReason::kNoShare;
+  // Not 0 when the request was refused for now and is waiting: time after
+  // which to retry it.
+  kernel::Duration retry_after{0};
 
   bool operator==(const LimitDecision&) const = default;
 };
--- a/src/laburnumkeel/limits/round_view.cpp
+++ b/src/laburnumkeel/limits/round_view.cpp
@@ -7,6 +7,14 @@
 
 namespace laburnumkeel::limits {
 
+namespace {
+
+// Part of a limit that a VM must lack before rounds become more frequent. Less
+// is the usual fluctuation of measured demand.
+constexpr double kShortPart = 0.03;
+
+}  // namespace
+
 RoundView::RoundView(const ShareLedger& ledger, const FleetLimits& limits,
                      const std::vector<AccountDemand>& demands,
                      RoundViewSettings settings, const IsInactive& is_inactive)
@@ -77,7 +85,8 @@
                            [&](const LedgerEntry& entry) {
                              const AccountShares shares =
                                  SharesOf(entry, limit.account);
-                             return shares.demand > Total(shares).rate;
+                             return shares.demand - Total(shares).rate >
+                                    limit.limit.rate * kShortPart;
                            });
       });
 }
--- a/src/laburnumkeel/limits/share_ledger.cpp
+++ b/src/laburnumkeel/limits/share_ledger.cpp
@@ -9,6 +9,11 @@
   return shares.dynamic + shares.reserve;
 }
 
+AccountShares Smaller(const AccountShares& left, const AccountShares& right) {
+  return AccountShares{Smaller(left.dynamic, right.dynamic),
+                       Smaller(left.reserve, right.reserve), left.demand};
+}
+
 AccountShares SharesOf(const LedgerEntry& entry, const std::string& account) {
   const auto shares = entry.accounts.find(account);
   return shares == entry.accounts.end() ? AccountShares{} : shares->second;
--- a/src/laburnumkeel/limits/share_ledger.h
+++ b/src/laburnumkeel/limits/share_ledger.h
@@ -26,6 +26,9 @@
 
 ShareAmount Total(const AccountShares& shares);
 
+// The smaller one of each amount; the demand of `left`.
+AccountShares Smaller(const AccountShares& left, const AccountShares& right);
+
 // Shares of one incarnation of a VM. Only that incarnation writes the entry;
 // others may remove shares that expired.
 struct LedgerEntry {
--- a/src/laburnumkeel/limits/share_plan.cpp
+++ b/src/laburnumkeel/limits/share_plan.cpp
@@ -14,6 +14,9 @@
 // Headroom that is granted while the limit is not used up, so that demand
 // which moves to a VM finds tokens before the next round.
 constexpr double kHeadroom = 1.5;
+// Part of the rate that is kept for VMs without demand, as long as others do
+// not need it. It fills their buckets, so that their first requests pass.
+constexpr double kFloorPart = 0.04;
 // Part of the burst that is split equally; the rest follows the rates.
 constexpr double kEqualBurst = 0.5;
 
@@ -37,8 +40,8 @@
 
 std::vector<double> PlanRates(const PlanInput& input, double capacity) {
   const std::vector<VmDemand>& active = input.active;
-  const double floor = input.limit.rate * input.reserve_fraction / 2 /
-                       static_cast<double>(input.fleet_size);
+  const double floor =
+      input.limit.rate * kFloorPart / static_cast<double>(input.fleet_size);
   std::vector<double> rates(active.size(), 0.0);
   Raise(rates, capacity,
         [&](std::size_t index) { return active[index].demand; });
--- a/src/laburnumkeel/limits/token_bucket.h
+++ b/src/laburnumkeel/limits/token_bucket.h
@@ -33,6 +33,9 @@
   // Tokens at `now`.
   double Available(kernel::Instant now);
 
+  // Tokens a second that are added at `now`.
+  double Rate(kernel::Instant now) const { return this->ValidAt(now).rate; }
+
   const LeasedAmount& Dynamic() const { return this->dynamic; }
   const LeasedAmount& Reserve() const { return this->reserve; }
 
--- a/src/laburnumkeel/limits/write_attempts.cpp
+++ b/src/laburnumkeel/limits/write_attempts.cpp
@@ -38,9 +38,7 @@
 AccountShares WriteAttempts::Usable(const std::string& account) const {
   AccountShares usable = SharesOf(this->committed, account);
   for (const WriteAttempt& attempt : this->undecided) {
-    const AccountShares shares = SharesOf(attempt.entry, account);
-    usable = AccountShares{Smaller(usable.dynamic, shares.dynamic),
-                           Smaller(usable.reserve, shares.reserve), 0};
+    usable = Smaller(usable, SharesOf(attempt.entry, account));
   }
   return usable;
 }
