Let requests wait for a token in the entry program

Cause: a VM's bucket of a small account holds one or two tokens, and random arrivals within the rate were refused. Ruled out: larger shares, which would exceed the limit.

--- a/programs/laburnumkeel-entry/admission.cpp
+++ b/programs/laburnumkeel-entry/admission.cpp
@@ -1,5 +1,6 @@
 #include "programs/laburnumkeel-entry/admission.h"
 
+#include <thread>
 #include <utility>
 
 #include "laburnumkeel/kernel/event_log.h"
@@ -82,23 +83,41 @@
     return Refuse(request_id, account, parsed.error());
   }
   request_id = parsed.value().request_id;
-  const limits::LimitDecision limit = this->limiter.TryTake(account);
-  if (!limit.is_allowed) {
-    return Refuse(request_id, account, RateLimited(limit.reason));
+  const std::string key = BearerKey(request.Header("Authorization"));
+  if (auto refused = this->AwaitToken(caller.value(), key)) {
+    return Refuse(request_id, account, std::move(*refused));
   }
   const auto session = this->ReadSession(request, account);
   if (!session.has_value()) {
     return Refuse(request_id, account, session.error());
   }
-  return AdmittedRequest{parsed.value(),
-                         caller.value().service,
-                         BearerKey(request.Header("Authorization")),
-                         account,
-                         session.value(),
-                         nullptr,
+  return AdmittedRequest{parsed.value(), caller.value().service, key,
+                         account,        session.value(),        nullptr,
                          deadline};
 }
 
+std::optional<CallerError> Admission::AwaitToken(const AuthorizedCaller& caller,
+                                                 const std::string& key) const {
+  const kernel::Instant began = this->clock.Now();
+  limits::LimitDecision decision = this->limiter.TakeOrWait(caller.account);
+  bool has_waited = false;
+  while (!decision.is_allowed && decision.retry_after > kernel::Duration(0)) {
+    has_waited = true;
+    std::this_thread::sleep_for(decision.retry_after);
+    decision = this->limiter.Retry(caller.account, this->clock.Now() - began);
+  }
+  if (!decision.is_allowed) {
+    return RateLimited(decision.reason);
+  }
+  // The key may have been revoked in the meantime.
+  if (has_waited &&
+      !this->IsStillAuthorized(key, caller.service, caller.account)) {
+    return CallerError{401, "unknown_key", "the key is missing or not valid",
+                       model::Outcome::kNotRun};
+  }
+  return std::nullopt;
+}
+
 kernel::Result<sessions::Session, CallerError> Admission::ReadSession(
     const transport::HttpRequest& request, const std::string& account) const {
   const std::string token = request.Header(kSessionHeader);
--- a/programs/laburnumkeel-entry/admission.h
+++ b/programs/laburnumkeel-entry/admission.h
@@ -2,6 +2,7 @@
 #define LABURNUMKEEL_PROGRAMS_ENTRY_ADMISSION_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "laburnumkeel/kernel/boot_clock.h"
@@ -57,6 +58,11 @@
       const transport::HttpRequest& request,
       const kernel::Result<AuthorizedCaller, CallerError>& caller,
       std::string& request_id) const;
+  // Waits up to a second for a token: a VM's bucket holds a part of the burst,
+  // so random arrivals within the rate would be refused without it.
+  // Returns the refusal, if any.
+  std::optional<CallerError> AwaitToken(const AuthorizedCaller& caller,
+                                        const std::string& key) const;
   kernel::Result<sessions::Session, CallerError> ReadSession(
       const transport::HttpRequest& request, const std::string& account) const;
 
