--- a/programs/laburnumkeel-control/events.h
+++ b/programs/laburnumkeel-control/events.h
@@ -20,17 +20,14 @@
     6204, kernel::Severity::kError, "submit_undistributed",
     "a change is in the store, but a majority of data centres did not confirm "
     "it in time"};
-inline constexpr kernel::EventDefinition kWatchChanged{
-    6205, kernel::Severity::kInformation, "watch_changed",
-    "this VM began or ended to watch a group, or changed its rank"};
 inline constexpr kernel::EventDefinition kReady{
-    6206, kernel::Severity::kInformation, "control_ready",
+    6205, kernel::Severity::kInformation, "control_ready",
     "the control program knows the newest configuration"};
 
 // All events of this program, for the catalogue.
 inline constexpr std::array kEvents{kConfigurationAdopted, kFetchFailed,
-                                    kSubmitRefused,        kSubmitUndistributed,
-                                    kWatchChanged,         kReady};
+                                    kSubmitRefused, kSubmitUndistributed,
+                                    kReady};
 
 }  // namespace laburnumkeel::control
 
--- a/programs/laburnumkeel-control/fleet_state.cpp
+++ b/programs/laburnumkeel-control/fleet_state.cpp
@@ -46,8 +46,7 @@
                            ? ToMilliseconds(*evidence.proof_age)
                            : -1;
   state.reaches_store = this->freshness.ReachesStore();
-  for (const configuration::DataCentreContact& contact :
-       evidence.contacts) {
+  for (const configuration::DataCentreContact& contact : evidence.contacts) {
     peer::generated::Contact item;
     item.data_centre = contact.data_centre;
     item.age_ms = ToMilliseconds(contact.age);
--- a/programs/laburnumkeel-control/gossip_service.cpp
+++ b/programs/laburnumkeel-control/gossip_service.cpp
@@ -22,6 +22,7 @@
 void GossipService::Stop() { this->task.Stop(); }
 
 kernel::Duration GossipService::Step() {
+  this->log.Update(this->state.LiveVms(), this->state.HasMajorityContact());
   const std::vector<membership::VmRecord> callable = this->state.Peers();
   if (callable.empty()) {
     return kInterval;
--- a/programs/laburnumkeel-control/gossip_service.h
+++ b/programs/laburnumkeel-control/gossip_service.h
@@ -5,6 +5,7 @@
 
 #include "laburnumkeel/kernel/periodic_task.h"
 #include "laburnumkeel/kernel/service.h"
+#include "programs/laburnumkeel-control/membership_log.h"
 #include "programs/laburnumkeel-control/peer_caller.h"
 
 namespace laburnumkeel::control {
@@ -26,6 +27,7 @@
   FleetState& state;
   PeerCaller& peers;
   std::mt19937_64 random{std::random_device{}()};
+  MembershipLog log;
   kernel::PeriodicTask task;
 };
 
--- a/programs/laburnumkeel-control/group_watch.cpp
+++ b/programs/laburnumkeel-control/group_watch.cpp
@@ -6,8 +6,8 @@
 #include <utility>
 
 #include "laburnumkeel/kernel/event_log.h"
+#include "laburnumkeel/membership/events.h"
 #include "laburnumkeel/membership/watcher_selection.h"
-#include "programs/laburnumkeel-control/events.h"
 
 namespace laburnumkeel::control {
 
@@ -56,10 +56,12 @@
   if (next == this->rank) {
     return;
   }
-  kernel::LogEvent(kWatchChanged,
-                   {{"group", this->group.name},
-                    {"rank", next.has_value() ? std::to_string(*next)
-                                              : std::string("none")}});
+  if (next.has_value()) {
+    kernel::LogEvent(membership::kWatchStarted,
+                     {{"group", this->group.name}, {"rank", *next}});
+  } else {
+    kernel::LogEvent(membership::kWatchEnded, {{"group", this->group.name}});
+  }
   this->rank = next;
   if (next.has_value()) {
     this->detector.SetRank(*next);
--- a/programs/laburnumkeel-ctl/event_catalogue.cpp
+++ b/programs/laburnumkeel-ctl/event_catalogue.cpp
@@ -4,10 +4,19 @@
 #include <cstddef>
 
 #include "laburnumkeel/configuration/events.h"
+#include "laburnumkeel/endpoints/events.h"
 #include "laburnumkeel/kernel/events.h"
+#include "laburnumkeel/limits/events.h"
+#include "laburnumkeel/membership/events.h"
+#include "laburnumkeel/peer/events.h"
 #include "laburnumkeel/platform/events.h"
+#include "laburnumkeel/promotion/events.h"
+#include "laburnumkeel/routing/events.h"
+#include "laburnumkeel/sessions/events.h"
 #include "laburnumkeel/transport/events.h"
 #include "programs/laburnumkeel-admin/events.h"
+#include "programs/laburnumkeel-control/events.h"
+#include "programs/laburnumkeel-entry/events.h"
 
 namespace laburnumkeel::ctl {
 
@@ -25,7 +34,16 @@
   return {Group("kernel", kernel::kEvents),
           Group("platform", platform::kEvents),
           Group("transport", transport::kEvents),
+          Group("endpoints", endpoints::kEvents),
+          Group("routing", routing::kEvents),
+          Group("sessions", sessions::kEvents),
+          Group("limits", limits::kEvents),
+          Group("promotion", promotion::kEvents),
           Group("configuration", configuration::kEvents),
+          Group("membership", membership::kEvents),
+          Group("peer", peer::kEvents),
+          Group("entry", entry::kEvents),
+          Group("control", control::kEvents),
           Group("admin", admin::kEvents)};
 }
 
--- a/src/laburnumkeel/membership/events.h
+++ b/src/laburnumkeel/membership/events.h
@@ -21,7 +21,7 @@
     "a majority of data centres is in contact again"};
 inline constexpr kernel::EventDefinition kWatchStarted{
     5205, kernel::Severity::kInformation, "watch_started",
-    "this VM became a watcher of a group"};
+    "this VM became a watcher of a group or changed its rank"};
 inline constexpr kernel::EventDefinition kWatchEnded{
     5206, kernel::Severity::kInformation, "watch_ended",
     "this VM is no longer a watcher of a group"};
