--- a/programs/laburnumkeel-admin/admin_settings.h
+++ b/programs/laburnumkeel-admin/admin_settings.h
@@ -10,8 +10,8 @@
 
 // The settings of the administration program with their defaults.
 struct AdminSettings {
-  std::string listen = "127.0.0.1:8082";
-  std::string control_address = "127.0.0.1:8081";
+  std::string listen = "127.0.0.1:8090";
+  std::string control_address = "127.0.0.1:7001";
   std::string admin_secret;
   std::int64_t control_timeout_ms = 10000;
   std::int64_t shutdown_grace_ms = 1000;
--- a/programs/laburnumkeel-ctl/main.cpp
+++ b/programs/laburnumkeel-ctl/main.cpp
@@ -16,7 +16,7 @@
 
 // The arguments of all subcommands.
 struct Arguments {
-  std::string address = "127.0.0.1:8082";
+  std::string address = "127.0.0.1:8090";
   std::string secret;
   std::string file;
   std::optional<std::uint64_t> base_version;
