--- a/programs/laburnumkeel-control/control_settings.h
+++ b/programs/laburnumkeel-control/control_settings.h
@@ -17,7 +17,7 @@
   std::int64_t platform_timeout_ms = 1000;
   // Part of each account's limit that stays usable in a store outage.
   std::int64_t reserve_percent = 40;
-  std::int64_t reserve_lifetime_s = 12 * 3600;
+  std::int64_t reserve_lifetime_s = std::int64_t{12} * 3600;
 
   bool operator==(const ControlSettings&) const = default;
 };
--- a/programs/laburnumkeel-entry/statement_outcome.cpp
+++ b/programs/laburnumkeel-entry/statement_outcome.cpp
@@ -15,6 +15,9 @@
       error.code == endpoints::codes::kInvalidText) {
     return kBadRequest;
   }
+  if (error.code == endpoints::codes::kConflict) {
+    return kConflict;
+  }
   if (error.code == endpoints::codes::kAccessRevoked) {
     return kUnauthorized;
   }
--- a/src/laburnumkeel/endpoints/endpoint_error.cpp
+++ b/src/laburnumkeel/endpoints/endpoint_error.cpp
@@ -15,7 +15,7 @@
 bool IsEndpointRefusal(std::string_view code) {
   return code == codes::kStaleTerm || code == codes::kNotPrimary ||
          code == codes::kNoSlot || code == codes::kDraining ||
-         code == codes::kBadStatement;
+         code == codes::kBadStatement || code == codes::kConflict;
 }
 
 }  // namespace laburnumkeel::endpoints
--- a/src/laburnumkeel/endpoints/endpoint_error.h
+++ b/src/laburnumkeel/endpoints/endpoint_error.h
@@ -28,6 +28,8 @@
 inline constexpr std::string_view kNoSlot = "no_slot";
 inline constexpr std::string_view kDraining = "draining";
 inline constexpr std::string_view kBadStatement = "bad_statement";
+// A commit met a change of what the transaction read; the transaction ended.
+inline constexpr std::string_view kConflict = "conflict";
 // `seal` or `promote` was answered with `accepted: false`.
 inline constexpr std::string_view kNotAccepted = "not_accepted";
 
--- a/src/laburnumkeel/endpoints/retry_policy.cpp
+++ b/src/laburnumkeel/endpoints/retry_policy.cpp
@@ -11,7 +11,8 @@
 // Refusals that a further attempt can avoid: another endpoint, a newer term or
 // a free connection may be found.
 bool IsTransient(std::string_view code) {
-  return (IsEndpointRefusal(code) && code != codes::kBadStatement) ||
+  return (IsEndpointRefusal(code) && code != codes::kBadStatement &&
+          code != codes::kConflict) ||
          code == codes::kConnectFailed || code == codes::kConnectionClosed ||
          code == codes::kPoolClosed || code == codes::kNoTransactionSlot ||
          code == codes::kNoPrimary || code == codes::kTermSuperseded;
--- a/tests/endpoints/endpoint_connection_test.cpp
+++ b/tests/endpoints/endpoint_connection_test.cpp
@@ -131,7 +131,7 @@
     EndpointConnection connection = this->Open();
     for (const std::string_view code :
          {codes::kStaleTerm, codes::kNotPrimary, codes::kNoSlot,
-          codes::kDraining, codes::kBadStatement}) {
+          codes::kDraining, codes::kBadStatement, codes::kConflict}) {
       this->RespondWith({{"request_id", "r1"}, {"error", code}});
       const auto result = connection.Execute(Write("r1"), kTimeout);
       CPPUNIT_ASSERT(!result.has_value());
--- a/tests/endpoints/retry_policy_test.cpp
+++ b/tests/endpoints/retry_policy_test.cpp
@@ -50,8 +50,8 @@
       CPPUNIT_ASSERT_MESSAGE(std::string(code), Decide(code, 1, 1000).retry);
     }
     for (const std::string_view code :
-         {codes::kBadStatement, codes::kAccessRevoked, codes::kQueueTimeout,
-          codes::kInvalidText, codes::kTransactionUnknown,
+         {codes::kBadStatement, codes::kConflict, codes::kAccessRevoked,
+          codes::kQueueTimeout, codes::kInvalidText, codes::kTransactionUnknown,
           codes::kTransactionBusy, codes::kTransactionOfOtherAccount,
           codes::kTransactionNotOnThisVm}) {
       CPPUNIT_ASSERT_MESSAGE(std::string(code), !Decide(code, 1, 1000).retry);
