Add a capacity benchmark with fitted lines

scripts/measure-capacity builds and runs benchmarks/capacity: share ledger, exchange of states, configuration document, endpoint statuses and the processes of one VM, each at three or more sizes.

--- /dev/null
+++ b/benchmarks/capacity/entry_benchmark.h
@@ -0,0 +1,14 @@
+#ifndef LABURNUMKEEL_BENCHMARKS_CAPACITY_ENTRY_BENCHMARK_H_
+#define LABURNUMKEEL_BENCHMARKS_CAPACITY_ENTRY_BENCHMARK_H_
+
+#include <string>
+
+namespace laburnumkeel::benchmarks {
+
+// Processes of one VM of a fleet on loopback: idle, with idle connections and
+// under load. Returns false when the fleet did not start or stop in order.
+bool MeasureEntry(const std::string& binaries, const std::string& logs);
+
+}  // namespace laburnumkeel::benchmarks
+
+#endif  // LABURNUMKEEL_BENCHMARKS_CAPACITY_ENTRY_BENCHMARK_H_
--- /dev/null
+++ b/benchmarks/capacity/ledger_benchmark.h
@@ -0,0 +1,11 @@
+#ifndef LABURNUMKEEL_BENCHMARKS_CAPACITY_LEDGER_BENCHMARK_H_
+#define LABURNUMKEEL_BENCHMARKS_CAPACITY_LEDGER_BENCHMARK_H_
+
+namespace laburnumkeel::benchmarks {
+
+// Share ledger: size of the row and processor time of a round.
+void MeasureLedger();
+
+}  // namespace laburnumkeel::benchmarks
+
+#endif  // LABURNUMKEEL_BENCHMARKS_CAPACITY_LEDGER_BENCHMARK_H_
--- /dev/null
+++ b/benchmarks/capacity/status_benchmark.h
@@ -0,0 +1,11 @@
+#ifndef LABURNUMKEEL_BENCHMARKS_CAPACITY_STATUS_BENCHMARK_H_
+#define LABURNUMKEEL_BENCHMARKS_CAPACITY_STATUS_BENCHMARK_H_
+
+namespace laburnumkeel::benchmarks {
+
+// Endpoint statuses, routing decisions and write confirmation.
+void MeasureStatus();
+
+}  // namespace laburnumkeel::benchmarks
+
+#endif  // LABURNUMKEEL_BENCHMARKS_CAPACITY_STATUS_BENCHMARK_H_
