--- a/benchmarks/capacity/entry_benchmark.cpp
+++ b/benchmarks/capacity/entry_benchmark.cpp
@@ -10,6 +10,7 @@
 
 #include "benchmarks/capacity/process_usage.h"
 #include "benchmarks/capacity/series.h"
+#include "benchmarks/capacity/watch_benchmark.h"
 #include "laburnumkeel/transport/http_connection.h"
 #include "programs/laburnumkeel-load/load_generator.h"
 #include "standins/standin-fleet/fleet.h"
@@ -208,6 +209,7 @@
   // Pools and shares settle.
   std::this_thread::sleep_for(kWarmUp);
   MeasureIdle(fleet);
+  MeasureWatches(fleet.GetDeployment());
   Connections connections;
   const bool is_connected = MeasureConnections(fleet, connections);
   MeasureLoad(fleet, connections.size());
