--- a/programs/laburnumkeel-admin/configuration_edit.cpp
+++ b/programs/laburnumkeel-admin/configuration_edit.cpp
@@ -53,7 +53,7 @@
 
 }  // namespace
 
-ConfigurationEdit GrantKey(std::string account, model::KeyHash key) {
+ConfigurationEdit GrantKey(const std::string& account, model::KeyHash key) {
   return ConfigurationEdit{
       OnCopy("client account '" + account + "'",
              [account, key = std::move(key)](Configuration& configuration) {
@@ -68,7 +68,8 @@
       [](const Configuration&) { return std::string(); }};
 }
 
-ConfigurationEdit RevokeKey(std::string account, std::string key_id) {
+ConfigurationEdit RevokeKey(const std::string& account,
+                            const std::string& key_id) {
   const auto has_id = [key_id](const model::KeyHash& key) {
     return key.id == key_id;
   };
@@ -84,7 +85,7 @@
       [](const Configuration&) { return std::string(); }};
 }
 
-ConfigurationEdit SetAccountLimits(std::string account,
+ConfigurationEdit SetAccountLimits(const std::string& account,
                                    std::optional<double> rate,
                                    std::optional<double> burst) {
   return ConfigurationEdit{
@@ -108,7 +109,7 @@
       }};
 }
 
-ConfigurationEdit SetDataCentreState(std::string data_centre,
+ConfigurationEdit SetDataCentreState(const std::string& data_centre,
                                      Availability availability) {
   return ConfigurationEdit{
       OnCopy("data centre '" + data_centre + "'",
@@ -128,8 +129,9 @@
       }};
 }
 
-ConfigurationEdit SetEndpointState(std::string service, std::string group,
-                                   std::string endpoint,
+ConfigurationEdit SetEndpointState(const std::string& service,
+                                   const std::string& group,
+                                   const std::string& endpoint,
                                    Availability availability) {
   return ConfigurationEdit{
       OnCopy(
--- a/programs/laburnumkeel-admin/configuration_edit.h
+++ b/programs/laburnumkeel-admin/configuration_edit.h
@@ -22,16 +22,18 @@
   std::function<std::string(const model::Configuration&)> precondition;
 };
 
-ConfigurationEdit GrantKey(std::string account, model::KeyHash key);
-ConfigurationEdit RevokeKey(std::string account, std::string key_id);
+ConfigurationEdit GrantKey(const std::string& account, model::KeyHash key);
+ConfigurationEdit RevokeKey(const std::string& account,
+                            const std::string& key_id);
 // Absent values stay as they are.
-ConfigurationEdit SetAccountLimits(std::string account,
+ConfigurationEdit SetAccountLimits(const std::string& account,
                                    std::optional<double> rate,
                                    std::optional<double> burst);
-ConfigurationEdit SetDataCentreState(std::string data_centre,
+ConfigurationEdit SetDataCentreState(const std::string& data_centre,
                                      model::Availability availability);
-ConfigurationEdit SetEndpointState(std::string service, std::string group,
-                                   std::string endpoint,
+ConfigurationEdit SetEndpointState(const std::string& service,
+                                   const std::string& group,
+                                   const std::string& endpoint,
                                    model::Availability availability);
 
 }  // namespace laburnumkeel::admin
--- a/programs/laburnumkeel-control/fleet_state.cpp
+++ b/programs/laburnumkeel-control/fleet_state.cpp
@@ -113,13 +113,13 @@
   return true;
 }
 
-void FleetState::SetListedVms(std::vector<membership::VmRecord> vms) {
+void FleetState::SetListedVms(const std::vector<membership::VmRecord>& vms) {
   const std::lock_guard lock(this->mutex);
   this->listed_names.clear();
   for (const membership::VmRecord& vm : vms) {
     this->listed_names.push_back(vm.name);
   }
-  this->directory.SetListed(std::move(vms));
+  this->directory.SetListed(vms);
 }
 
 void FleetState::SetLeaving() {
--- a/programs/laburnumkeel-control/fleet_state.h
+++ b/programs/laburnumkeel-control/fleet_state.h
@@ -45,7 +45,7 @@
   // Takes a configuration from a peer. Returns whether it was newer.
   bool Adopt(model::Configuration configuration, const std::string& source);
 
-  void SetListedVms(std::vector<membership::VmRecord> vms);
+  void SetListedVms(const std::vector<membership::VmRecord>& vms);
   void SetLeaving();
 
   // Peers worth calling.
--- a/programs/laburnumkeel-load/load_plan.cpp
+++ b/programs/laburnumkeel-load/load_plan.cpp
@@ -39,9 +39,10 @@
         !ParsePositive(fields[3], account.burst) ||
         !ParsePositive(fields[4], account.factor)) {
       // The part holds a key, so only its name is repeated.
-      return std::string("account '" + fields[0] +
-                         "': expected name:key:rate:burst:factor with positive "
-                         "numbers");
+      std::string message =
+          "account '" + fields[0] +
+          "': expected name:key:rate:burst:factor with positive numbers";
+      return message;
     }
     account.name = fields[0];
     account.key = fields[1];
--- a/src/laburnumkeel/membership/vm_directory.h
+++ b/src/laburnumkeel/membership/vm_directory.h
@@ -29,7 +29,7 @@
       : clock(std::move(clock)), own(std::move(own)) {}
 
   // Takes the platform's list.
-  void SetListed(std::vector<VmRecord> vms) { this->listed = std::move(vms); }
+  void SetListed(const std::vector<VmRecord>& vms) { this->listed = vms; }
 
   // Marks the own VM as departing.
   void SetDeparting(bool departing) { this->own.departing = departing; }
--- a/src/laburnumkeel/membership/vm_record.h
+++ b/src/laburnumkeel/membership/vm_record.h
@@ -15,6 +15,7 @@
   std::string entry_address;
   bool departing = false;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): a false report of clang-tidy 14.
   auto operator<=>(const VmRecord&) const = default;
 };
 
