Measure signal and fetch against polling; bound the rank delay; add proofs

Failure detection: with 21 watchers the last rank waited 10 s and a failover could take 14.5 s. The delay is now at most 4 s.

--- a/programs/laburnumkeel-control/configuration_service.cpp
+++ b/programs/laburnumkeel-control/configuration_service.cpp
@@ -17,6 +17,7 @@
 
 constexpr milliseconds kStepInterval{50};
 constexpr kernel::Duration kVmListInterval = std::chrono::seconds(10);
+constexpr kernel::Duration kPollOnlyInterval = std::chrono::seconds(1);
 constexpr kernel::Duration kStartupReadInterval = std::chrono::seconds(1);
 // Each VM that adopts a version tells this many others, so a signal reaches n
 // VMs in about log3(n) steps without a VM that calls all of them.
@@ -59,6 +60,7 @@
       vm_list(settings.platform, settings.vm + "/" + settings.data_centre,
               milliseconds(settings.platform_timeout_ms)),
       last_vm_list(this->clock.Now() - kVmListInterval),
+      last_poll(this->clock.Now()),
       last_startup_read(this->clock.Now() - kStartupReadInterval),
       task([this] { return this->Step(); }) {}
 
@@ -79,9 +81,12 @@
   if (is_starting && now - this->last_startup_read >= kStartupReadInterval) {
     this->last_startup_read = now;
     this->ReadStore();
-  } else if (this->state.IsPollDue()) {
+  } else if (this->IsPollDue(now)) {
     this->ReadStore();
   }
+  if (this->settings.poll_only) {
+    return kStepInterval;
+  }
   if (const auto plan = this->state.NextFetch()) {
     this->Fetch(*plan);
   }
@@ -91,6 +96,17 @@
   return kStepInterval;
 }
 
+bool ConfigurationService::IsPollDue(kernel::Instant now) {
+  if (!this->settings.poll_only) {
+    return this->state.IsPollDue();
+  }
+  if (now - this->last_poll < kPollOnlyInterval) {
+    return false;
+  }
+  this->last_poll = now;
+  return true;
+}
+
 void ConfigurationService::ReadStore() {
   const kernel::Instant sent = this->clock.Now();
   auto read = this->store.Read();
@@ -187,9 +203,11 @@
     const std::vector<model::DataCentre>& data_centres_before) {
   this->state.Adopt(accepted, "submit");
   const kernel::Instant deadline = this->clock.Now() + kDistributionTime;
-  for (const membership::VmRecord& vm : this->state.Peers()) {
-    this->peers.Signal(vm.control_address, accepted.version,
-                       this->settings.peer_listen);
+  if (!this->settings.poll_only) {
+    for (const membership::VmRecord& vm : this->state.Peers()) {
+      this->peers.Signal(vm.control_address, accepted.version,
+                         this->settings.peer_listen);
+    }
   }
   while (this->clock.Now() < deadline) {
     if ((data_centres_before.empty() ||
--- a/programs/laburnumkeel-control/configuration_service.h
+++ b/programs/laburnumkeel-control/configuration_service.h
@@ -32,6 +32,7 @@
 
  private:
   kernel::Duration Step();
+  bool IsPollDue(kernel::Instant now);
   void ReadStore();
   void ReadVmList();
   void Fetch(const configuration::FetchPlan& plan);
@@ -49,6 +50,7 @@
   platform::VmListClient vm_list;
   std::uint64_t signalled_version = 0;
   kernel::Instant last_vm_list;
+  kernel::Instant last_poll;
   kernel::Instant last_startup_read;
   kernel::PeriodicTask task;
 };
--- a/programs/laburnumkeel-control/control_settings.cpp
+++ b/programs/laburnumkeel-control/control_settings.cpp
@@ -29,6 +29,9 @@
                       604800, "seconds",
                       "time for which the reserve stays usable without the "
                       "store; a crashed VM's reserve is lost for as long");
+  declared.AddSwitch("poll-only", settings.poll_only,
+                     "read the configuration from the store once a second on "
+                     "every VM, without signals between VMs");
   return declared.Parse(argument_count, arguments);
 }
 
--- a/programs/laburnumkeel-control/control_settings.h
+++ b/programs/laburnumkeel-control/control_settings.h
@@ -17,6 +17,8 @@
   std::int64_t platform_timeout_ms = 1000;
   // Part of each account's limit that stays usable in a store outage.
   std::int64_t reserve_percent = 40;
+  // Every VM reads the store once a second and no version is signalled.
+  bool poll_only = false;
   std::int64_t reserve_lifetime_s = std::int64_t{12} * 3600;
 
   bool operator==(const ControlSettings&) const = default;
--- a/src/laburnumkeel/promotion/failure_detector.h
+++ b/src/laburnumkeel/promotion/failure_detector.h
@@ -21,6 +21,10 @@
  public:
   static constexpr kernel::Duration kSilence = std::chrono::seconds(3);
   static constexpr kernel::Duration kRankDelay = std::chrono::milliseconds(500);
+  // With 3 watchers in each of 7 data centres the last rank would wait 10 s,
+  // and a failover could take 14.5 s. Ranks beyond the bound promote together;
+  // the seal lets one of them win.
+  static constexpr kernel::Duration kMaximumRankDelay = std::chrono::seconds(4);
   // Time for another watcher that sealed a term to promote in it.
   static constexpr kernel::Duration kPromotionTime = std::chrono::seconds(1);
   // A watcher that did not run for longer than this heard no answers: the
@@ -83,7 +87,8 @@
     }
     this->last_check = now;
     return now - this->last_primary_answer >=
-               kSilence + this->rank * kRankDelay &&
+               kSilence + std::min<kernel::Duration>(this->rank * kRankDelay,
+                                                     kMaximumRankDelay) &&
            (!this->not_before || now >= *this->not_before);
   }
 
--- a/standins/standin-fleet/deployment.cpp
+++ b/standins/standin-fleet/deployment.cpp
@@ -26,6 +26,7 @@
                      Account("aqaba", 150, 80), Account("petra", 40, 20),
                      Account("shobak", 30, 15), Account("tafila", 30, 15),
                      Account("karak", 20, 10), Account("mudawwara", 20, 10)},
+                    false,
                     network};
 }
 
@@ -38,6 +39,7 @@
                      Account("devonport", 60, 30), Account("burnie", 30, 15),
                      Account("kingston", 20, 10), Account("sorell", 20, 10),
                      Account("huonville", 10, 10), Account("smithton", 10, 10)},
+                    false,
                     network};
 }
 
--- a/standins/standin-fleet/deployment.h
+++ b/standins/standin-fleet/deployment.h
@@ -29,6 +29,8 @@
   std::int64_t latency_ms = 0;
   std::int64_t replication_lag_ms = 20;
   std::vector<DeploymentAccount> accounts;
+  // Every VM polls the store in place of signal and fetch.
+  bool poll_only = false;
   // Second octet of all addresses, so that deployments do not collide.
   int network = 1;
 
--- a/standins/standin-fleet/fleet.cpp
+++ b/standins/standin-fleet/fleet.cpp
@@ -115,8 +115,9 @@
               {own_name, own_centre,
                "--peer-listen=" + VmAddress(this->deployment, vm, kPeerPort),
                "--local-listen=" + control,
-               "--platform=" +
-                   PlatformAddress(this->deployment, kServicePort)}),
+               "--platform=" + PlatformAddress(this->deployment, kServicePort),
+               std::string("--poll-only=") +
+                   (this->deployment.poll_only ? "true" : "false")}),
           program("laburnumkeel-admin",
                   {"--listen=" + VmAddress(this->deployment, vm, kAdminPort),
                    "--control-address=" + control,
--- a/standins/standin-fleet/main.cpp
+++ b/standins/standin-fleet/main.cpp
@@ -3,6 +3,7 @@
 #include "laburnumkeel/kernel/settings.h"
 #include "laburnumkeel/kernel/shutdown_signal.h"
 #include "standins/standin-fleet/demonstration.h"
+#include "standins/standin-fleet/distribution_measurement.h"
 #include "standins/standin-fleet/fleet.h"
 
 namespace {
@@ -26,6 +27,8 @@
   int failures = 0;
   if (scenario == "demo") {
     failures += RunDemonstration(fleet);
+  } else if (scenario == "distribution") {
+    failures += MeasureDistribution(fleet) ? 0 : 1;
   } else {
     std::cout << "  running until SIGTERM or SIGINT\n" << std::flush;
     signal.Wait();
@@ -48,20 +51,25 @@
       "standin-fleet", "Runs a deployment of laburnumkeel on loopback");
   settings.AddText("binaries", binaries, 1, "folder of the programs");
   settings.AddText("logs", logs, 1, "existing folder for the logs");
-  settings.AddText("scenario", scenario, 1, "demo or run");
+  settings.AddText("scenario", scenario, 1, "demo, run or distribution");
   settings.AddText("deployment", deployment, 1, "ledger, bookings or both");
+  bool poll_only = false;
+  settings.AddSwitch("poll-only", poll_only,
+                     "let every VM poll the store in place of signals");
   if (const auto exit_code = settings.Parse(argument_count, arguments)) {
     return *exit_code;
   }
   const laburnumkeel::kernel::ShutdownSignal signal;
   bool succeeded = true;
+  Deployment ledger = laburnumkeel::standin::PolishingLedger(11);
+  Deployment bookings = laburnumkeel::standin::FloorflowBookings(12);
+  ledger.poll_only = poll_only;
+  bookings.poll_only = poll_only;
   if (deployment != "bookings") {
-    succeeded &= RunDeployment(laburnumkeel::standin::PolishingLedger(11),
-                               scenario, binaries, logs, signal);
+    succeeded &= RunDeployment(ledger, scenario, binaries, logs, signal);
   }
   if (deployment != "ledger") {
-    succeeded &= RunDeployment(laburnumkeel::standin::FloorflowBookings(12),
-                               scenario, binaries, logs, signal);
+    succeeded &= RunDeployment(bookings, scenario, binaries, logs, signal);
   }
   return succeeded ? 0 : 1;
 }
--- /dev/null
+++ b/tests/control/link.cmake
@@ -0,0 +1,1 @@
+set(extra_libraries laburnumkeel_control_program)
--- /dev/null
+++ b/tests/control/share_mailbox_test.cpp
@@ -0,0 +1,97 @@
+#include "programs/laburnumkeel-control/share_mailbox.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <thread>
+
+namespace laburnumkeel::control {
+namespace {
+
+constexpr char kIncarnation[] = "control-2";
+
+class ShareMailboxTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ShareMailboxTest);
+  CPPUNIT_TEST(ConfirmsOnlyWhatTheEntryProgramApplied);
+  CPPUNIT_TEST(AnOfferOfAnEarlierControlProgramConfirmsNothing);
+  CPPUNIT_TEST(AnUndeliveredOfferNeedsNoConfirmation);
+  CPPUNIT_TEST(AnEndedEntryProgramHoldsNothing);
+  CPPUNIT_TEST(ExpiredSharesAreNotHandedOver);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a lower share in the ledger while the entry program still
+  // spends the larger one.
+  void ConfirmsOnlyWhatTheEntryProgramApplied() {
+    this->mailbox.Offer({this->ShareFor(std::chrono::seconds(5))});
+    const auto first = this->Exchange(0, kIncarnation);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, first.offer);
+    CPPUNIT_ASSERT(!this->mailbox.Confirm());
+    this->Exchange(1, kIncarnation);
+    CPPUNIT_ASSERT(this->mailbox.Confirm());
+    this->mailbox.Offer({});
+    CPPUNIT_ASSERT(!this->mailbox.Confirm());
+  }
+
+  // Guards against the number of another incarnation's offer that happens to
+  // be the same.
+  void AnOfferOfAnEarlierControlProgramConfirmsNothing() {
+    this->mailbox.Offer({this->ShareFor(std::chrono::seconds(5))});
+    this->Exchange(1, "control-1");
+    CPPUNIT_ASSERT(!this->mailbox.Confirm());
+  }
+
+  // Guards against a control program that cannot lower its shares because no
+  // entry program runs.
+  void AnUndeliveredOfferNeedsNoConfirmation() {
+    this->mailbox.Offer({this->ShareFor(std::chrono::seconds(5))});
+    CPPUNIT_ASSERT(this->mailbox.Confirm());
+  }
+
+  // Guards against shares that stay assigned after a graceful shutdown.
+  void AnEndedEntryProgramHoldsNothing() {
+    this->mailbox.Offer({this->ShareFor(std::chrono::seconds(5))});
+    this->Exchange(0, kIncarnation);
+    peer::generated::EntryReport report;
+    report.ended = true;
+    peer::generated::EntryInstructions ignored;
+    this->mailbox.Exchange(report, ignored);
+    CPPUNIT_ASSERT(this->mailbox.Confirm());
+  }
+
+  // Guards against a share whose lifetime has passed, or begins anew with each
+  // exchange.
+  void ExpiredSharesAreNotHandedOver() {
+    this->mailbox.Offer({this->ShareFor(std::chrono::milliseconds(-1)),
+                         this->ShareFor(std::chrono::milliseconds(200))});
+    const auto first = this->Exchange(0, kIncarnation);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.shares.size());
+    CPPUNIT_ASSERT(first.shares.front().lifetime_ms <= 200);
+    std::this_thread::sleep_for(std::chrono::milliseconds(210));
+    CPPUNIT_ASSERT(this->Exchange(1, kIncarnation).shares.empty());
+  }
+
+ private:
+  limits::Share ShareFor(kernel::Duration lifetime) const {
+    return limits::Share{"maan", limits::ShareKind::kDynamic,
+                         limits::ShareAmount{10, 5},
+                         this->clock.Now() + lifetime};
+  }
+
+  peer::generated::EntryInstructions Exchange(std::int64_t applied_offer,
+                                              const std::string& incarnation) {
+    peer::generated::EntryReport report;
+    report.applied_offer = applied_offer;
+    report.control_incarnation = incarnation;
+    peer::generated::EntryInstructions instructions;
+    this->mailbox.Exchange(report, instructions);
+    return instructions;
+  }
+
+  const kernel::BootClock clock{};
+  ShareMailbox mailbox{kIncarnation};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ShareMailboxTest);
+
+}  // namespace
+}  // namespace laburnumkeel::control
--- a/tests/promotion/failure_detector_test.cpp
+++ b/tests/promotion/failure_detector_test.cpp
@@ -19,6 +19,7 @@
 class FailureDetectorTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FailureDetectorTest);
   CPPUNIT_TEST(SilentPrimaryIsDueByRank);
+  CPPUNIT_TEST(TheLastOfManyWatchersIsDueInTime);
   CPPUNIT_TEST(SupersededPrimaryIsNotAlive);
   CPPUNIT_TEST(WaitsForAnotherPromotion);
   CPPUNIT_TEST(BacksOffAfterALostRace);
@@ -39,6 +40,14 @@
     CPPUNIT_ASSERT_EQUAL(std::string("a"), third.Primary());
   }
 
+  // Guards against a failover of more than 14 s in a fleet of 7 data centres
+  // with 21 watchers, all but the last of which failed with the primary.
+  void TheLastOfManyWatchersIsDueInTime() {
+    Detector last(this->clock, 20, 1);
+    this->Answer(last, 4);
+    CPPUNIT_ASSERT(this->TimeUntilDue(last) == milliseconds(7000));
+  }
+
   // Guards against a group that stays without acknowledged writes because a
   // promoter failed after it sealed one member.
   void SupersededPrimaryIsNotAlive() {
