--- a/programs/laburnumkeel-entry/transaction_path.cpp
+++ b/programs/laburnumkeel-entry/transaction_path.cpp
@@ -92,8 +92,9 @@
   return Begun{begun.value(), target.value().endpoint};
 }
 
-transport::HttpResponse TransactionPath::Execute(
-    const transport::HttpRequest& request) {
+template <class Action>
+transport::HttpResponse TransactionPath::InTransaction(
+    const transport::HttpRequest& request, const Action& action) {
   std::string request_id;
   const auto admitted = this->admission.AdmitInTransaction(request, request_id);
   if (!admitted.has_value()) {
@@ -105,50 +106,68 @@
   if (!scope.has_value()) {
     return this->Fail(value, scope.error(), value.session);
   }
-  const auto result = this->registry.Execute(
-      id, value.account,
-      endpoints::StatementRequest{request_id, endpoints::StatementKind::kWrite,
-                                  value.request.statement, value.account,
-                                  std::nullopt, scope.value().term},
-      this->TimeLeft(value));
-  if (!result.has_value()) {
-    return this->Fail(value, result.error(), value.session);
-  }
-  return this->Succeed(value, result.value(), scope.value().endpoint, id,
-                       value.session);
+  return action(value, id, scope.value());
+}
+
+transport::HttpResponse TransactionPath::Execute(
+    const transport::HttpRequest& request) {
+  return this->InTransaction(
+      request, [this](const AdmittedRequest& admitted, const std::string& id,
+                      const endpoints::TransactionScope& scope) {
+        const auto result = this->registry.Execute(
+            id, admitted.account,
+            endpoints::StatementRequest{
+                admitted.request.request_id, endpoints::StatementKind::kWrite,
+                admitted.request.statement, admitted.account, std::nullopt,
+                scope.term},
+            this->TimeLeft(admitted));
+        return result.has_value()
+                   ? this->Succeed(admitted, result.value(), scope.endpoint, id,
+                                   admitted.session)
+                   : this->Fail(admitted, result.error(), admitted.session);
+      });
 }
 
 transport::HttpResponse TransactionPath::Commit(
     const transport::HttpRequest& request) {
-  std::string request_id;
-  const auto admitted = this->admission.AdmitInTransaction(request, request_id);
-  if (!admitted.has_value()) {
-    return ToHttpResponse(admitted.error(), request_id, "");
-  }
-  const AdmittedRequest& value = admitted.value();
-  const std::string id = request.Parameter("id");
-  const auto scope = this->registry.Find(id, value.account);
-  if (!scope.has_value()) {
-    return this->Fail(value, scope.error(), value.session);
-  }
-  const std::string& group = scope.value().group;
-  const auto result = this->CommitAndConfirm(value, id, scope.value());
-  this->Forget(id);
-  if (!result.has_value()) {
-    return this->Fail(
-        value, result.error(),
-        result.error().outcome == model::Outcome::kUnknown
-            ? value.session.AfterUnknownWrite(group, kernel::UnixMilliseconds())
-            : value.session);
-  }
-  const auto runtime = this->groups.Find(scope.value().service, group);
-  const std::vector<model::TermStart> terms =
-      runtime == nullptr
-          ? std::vector<model::TermStart>{}
-          : TermStartsOf(*runtime->View(), scope.value().endpoint);
-  return this->Succeed(
-      value, result.value(), scope.value().endpoint, "",
-      value.session.AfterWrite(group, result.value().position, terms));
+  return this->InTransaction(
+      request, [this](const AdmittedRequest& admitted, const std::string& id,
+                      const endpoints::TransactionScope& scope) {
+        const auto result = this->CommitAndConfirm(admitted, id, scope);
+        this->ForgetIfEnded(id, admitted.account);
+        if (!result.has_value()) {
+          const bool may_have_run =
+              result.error().outcome == model::Outcome::kUnknown;
+          return this->Fail(admitted, result.error(),
+                            may_have_run
+                                ? admitted.session.AfterUnknownWrite(
+                                      scope.group, kernel::UnixMilliseconds())
+                                : admitted.session);
+        }
+        const auto group = this->groups.Find(scope.service, scope.group);
+        const std::vector<model::TermStart> terms =
+            group == nullptr ? std::vector<model::TermStart>{}
+                             : TermStartsOf(*group->View(), scope.endpoint);
+        return this->Succeed(admitted, result.value(), scope.endpoint, "",
+                             admitted.session.AfterWrite(
+                                 scope.group, result.value().position, terms));
+      });
+}
+
+transport::HttpResponse TransactionPath::Abort(
+    const transport::HttpRequest& request) {
+  return this->InTransaction(
+      request, [this](const AdmittedRequest& admitted, const std::string& id,
+                      const endpoints::TransactionScope& scope) {
+        const auto result = this->registry.Abort(id, admitted.account,
+                                                 admitted.request.request_id,
+                                                 this->TimeLeft(admitted));
+        this->ForgetIfEnded(id, admitted.account);
+        return result.has_value()
+                   ? this->Succeed(admitted, result.value(), scope.endpoint, "",
+                                   admitted.session)
+                   : this->Fail(admitted, result.error(), admitted.session);
+      });
 }
 
 kernel::Result<endpoints::StatementResult, endpoints::EndpointError>
@@ -176,29 +195,6 @@
   return result;
 }
 
-transport::HttpResponse TransactionPath::Abort(
-    const transport::HttpRequest& request) {
-  std::string request_id;
-  const auto admitted = this->admission.AdmitInTransaction(request, request_id);
-  if (!admitted.has_value()) {
-    return ToHttpResponse(admitted.error(), request_id, "");
-  }
-  const AdmittedRequest& value = admitted.value();
-  const std::string id = request.Parameter("id");
-  const auto scope = this->registry.Find(id, value.account);
-  if (!scope.has_value()) {
-    return this->Fail(value, scope.error(), value.session);
-  }
-  const auto result = this->registry.Abort(id, value.account, request_id,
-                                           this->TimeLeft(value));
-  this->Forget(id);
-  if (!result.has_value()) {
-    return this->Fail(value, result.error(), value.session);
-  }
-  return this->Succeed(value, result.value(), scope.value().endpoint, "",
-                       value.session);
-}
-
 void TransactionPath::AbortRevoked() {
   std::map<std::string, Owner> revoked;
   {
@@ -215,7 +211,7 @@
     // A busy transaction stays; its next statement is refused for its key.
     (void)this->registry.Abort(id, owner.account, "abort-revoked-key",
                                kAbortTimeout);
-    this->Forget(id);
+    this->ForgetIfEnded(id, owner.account);
   }
 }
 
@@ -260,7 +256,12 @@
       std::max(admitted.deadline - this->clock.Now(), kernel::Duration(0)));
 }
 
-void TransactionPath::Forget(const std::string& id) {
+void TransactionPath::ForgetIfEnded(const std::string& id,
+                                    const std::string& account) {
+  // A refused commit leaves the transaction open.
+  if (this->registry.Find(id, account).has_value()) {
+    return;
+  }
   const std::lock_guard lock(this->mutex);
   this->owners.erase(id);
 }
--- a/programs/laburnumkeel-entry/transaction_path.h
+++ b/programs/laburnumkeel-entry/transaction_path.h
@@ -49,6 +49,11 @@
     std::string endpoint;
   };
 
+  // Checks the request, finds its transaction and calls
+  // `action(admitted, id, scope)`.
+  template <class Action>
+  transport::HttpResponse InTransaction(const transport::HttpRequest& request,
+                                        const Action& action);
   kernel::Result<Begun, endpoints::EndpointError> TryBegin(
       const AdmittedRequest& admitted);
   kernel::Result<endpoints::StatementResult, endpoints::EndpointError>
@@ -63,7 +68,7 @@
                                const endpoints::EndpointError& error,
                                const sessions::Session& session) const;
   std::chrono::milliseconds TimeLeft(const AdmittedRequest& admitted) const;
-  void Forget(const std::string& id);
+  void ForgetIfEnded(const std::string& id, const std::string& account);
 
   const Admission& admission;
   const GroupDirectory& groups;
