--- a/programs/laburnumkeel-entry/group_runtime.cpp
+++ b/programs/laburnumkeel-entry/group_runtime.cpp
@@ -81,8 +81,7 @@
 }
 
 GroupRuntime::Member GroupRuntime::Connect(const model::Endpoint& endpoint,
-                                           std::int64_t fleet_size) const {
-  auto* self = const_cast<GroupRuntime*>(this);
+                                           std::int64_t fleet_size) {
   endpoints::MonitorSettings settings;
   settings.endpoint = endpoint.name;
   settings.address = endpoint.address;
@@ -91,11 +90,11 @@
       std::make_shared<Pool>(SettingsOf(endpoint, this->origin, fleet_size)),
       std::make_shared<Monitor>(
           settings,
-          [self](const model::EndpointStatus& status, kernel::Instant sent) {
-            self->OnStatus(status, sent);
+          [this](const model::EndpointStatus& status, kernel::Instant sent) {
+            this->OnStatus(status, sent);
           },
-          [self, name = endpoint.name](const endpoints::EndpointError&) {
-            self->OnFailure(name);
+          [this, name = endpoint.name](const endpoints::EndpointError&) {
+            this->OnFailure(name);
           })};
 }
 
--- a/programs/laburnumkeel-entry/group_runtime.h
+++ b/programs/laburnumkeel-entry/group_runtime.h
@@ -61,8 +61,7 @@
     std::shared_ptr<Monitor> monitor;
   };
 
-  Member Connect(const model::Endpoint& endpoint,
-                 std::int64_t fleet_size) const;
+  Member Connect(const model::Endpoint& endpoint, std::int64_t fleet_size);
   void OnStatus(const model::EndpointStatus& status, kernel::Instant sent);
   void OnFailure(const std::string& endpoint);
   bool IsWarm(const std::string& endpoint) const;
