Keep contact with peers when the platform's VM list cannot be read at start

Cause: a control program that started before the platform answered read the VM list again only after 10 s. Ruled out: the rule for VMs that were paused (no VM lost its synchronization) and the failover itself. The list is now read every 500 ms until it was read once, and a peer that called is called back.

--- a/programs/laburnumkeel-control/configuration_service.cpp
+++ b/programs/laburnumkeel-control/configuration_service.cpp
@@ -17,6 +17,9 @@
 
 constexpr milliseconds kStepInterval{50};
 constexpr kernel::Duration kVmListInterval = std::chrono::seconds(10);
+// Until the list was read once, the VM knows no peers and counts as cut off.
+constexpr kernel::Duration kVmListRetryInterval =
+    std::chrono::milliseconds(500);
 constexpr kernel::Duration kPollOnlyInterval = std::chrono::seconds(1);
 constexpr kernel::Duration kStartupReadInterval = std::chrono::seconds(1);
 // Each VM that adopts a version tells this many others, so a signal reaches n
@@ -73,7 +76,8 @@
 
 kernel::Duration ConfigurationService::Step() {
   const kernel::Instant now = this->clock.Now();
-  if (now - this->last_vm_list >= kVmListInterval) {
+  if (now - this->last_vm_list >=
+      (this->has_vm_list ? kVmListInterval : kVmListRetryInterval)) {
     this->last_vm_list = now;
     this->ReadVmList();
   }
@@ -118,6 +122,7 @@
 void ConfigurationService::ReadVmList() {
   const auto listed = this->vm_list.List();
   if (listed.has_value()) {
+    this->has_vm_list = true;
     this->state.SetListedVms(ToRecords(listed.value()));
   }
 }
--- a/programs/laburnumkeel-control/configuration_service.h
+++ b/programs/laburnumkeel-control/configuration_service.h
@@ -50,6 +50,7 @@
   platform::VmListClient vm_list;
   std::uint64_t signalled_version = 0;
   kernel::Instant last_vm_list;
+  bool has_vm_list = false;
   kernel::Instant last_poll;
   kernel::Instant last_startup_read;
   kernel::PeriodicTask task;
--- a/programs/laburnumkeel-control/control_peer_handler.cpp
+++ b/programs/laburnumkeel-control/control_peer_handler.cpp
@@ -6,7 +6,7 @@
 
 void ControlPeerHandler::exchange(peer::generated::PeerState& result,
                                   const peer::generated::PeerState& caller) {
-  this->state.OnPeerCall(caller.configuration_version, caller.control_address);
+  this->state.OnPeerExchange(caller);
   result = this->state.OwnState();
 }
 
--- a/programs/laburnumkeel-control/fleet_state.cpp
+++ b/programs/laburnumkeel-control/fleet_state.cpp
@@ -1,5 +1,6 @@
 #include "programs/laburnumkeel-control/fleet_state.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -11,6 +12,9 @@
 
 namespace {
 
+// A VM that has not called for this long is worth calling only if it is listed.
+constexpr kernel::Duration kCallerLifetime = std::chrono::minutes(5);
+
 std::int64_t ToMilliseconds(kernel::Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
       .count();
@@ -86,6 +90,20 @@
   this->peers[answer.vm] = PeerEntry{answer, sent};
 }
 
+void FleetState::OnPeerExchange(const peer::generated::PeerState& caller) {
+  this->OnPeerCall(caller.configuration_version, caller.control_address);
+  const std::lock_guard lock(this->mutex);
+  const kernel::Instant now = this->clock.Now();
+  this->callers.insert_or_assign(
+      caller.vm,
+      Caller{membership::VmRecord{caller.vm, caller.data_centre,
+                                  caller.control_address, "", caller.leaving},
+             now});
+  std::erase_if(this->callers, [now](const auto& entry) {
+    return now - entry.second.called > kCallerLifetime;
+  });
+}
+
 void FleetState::OnPeerCall(std::int64_t version, const std::string& address) {
   this->freshness.VersionAnnounced(static_cast<std::uint64_t>(version));
   this->sync.VersionAnnounced(static_cast<std::uint64_t>(version), address,
@@ -130,7 +148,16 @@
 
 std::vector<membership::VmRecord> FleetState::Peers() const {
   const std::lock_guard lock(this->mutex);
-  return this->directory.Callable();
+  std::vector<membership::VmRecord> peers = this->directory.Callable();
+  for (const auto& [name, caller] : this->callers) {
+    const bool is_known = std::any_of(
+        peers.begin(), peers.end(),
+        [&](const membership::VmRecord& peer) { return peer.name == name; });
+    if (!is_known && name != this->settings.vm) {
+      peers.push_back(caller.record);
+    }
+  }
+  return peers;
 }
 
 std::vector<membership::VmRecord> FleetState::LiveVms() const {
--- a/programs/laburnumkeel-control/fleet_state.h
+++ b/programs/laburnumkeel-control/fleet_state.h
@@ -36,6 +36,9 @@
   void OnPeerAnswer(const peer::generated::PeerState& answer,
                     kernel::Instant sent);
 
+  // Takes the state of a peer that called: it is worth calling, listed or not.
+  void OnPeerExchange(const peer::generated::PeerState& caller);
+
   // Takes what a peer told on its own account: a hint, no proof.
   void OnPeerCall(std::int64_t version, const std::string& address);
 
@@ -81,6 +84,12 @@
     kernel::Instant sent;
   };
 
+  // A VM that called, and when.
+  struct Caller {
+    membership::VmRecord record;
+    kernel::Instant called;
+  };
+
   const ControlSettings settings;
   const std::string incarnation;
   const kernel::BootClock clock{};
@@ -92,6 +101,7 @@
   configuration::StartupRule startup;
   std::vector<std::string> listed_names;
   std::map<std::string, PeerEntry> peers;
+  std::map<std::string, Caller> callers;
   bool ready = false;
   std::atomic<bool> leaving = false;
 };
