--- a/programs/laburnumkeel-control/fleet_state.cpp
+++ b/programs/laburnumkeel-control/fleet_state.cpp
@@ -149,12 +149,13 @@
 std::vector<membership::VmRecord> FleetState::Peers() const {
   const std::lock_guard lock(this->mutex);
   std::vector<membership::VmRecord> peers = this->directory.Callable();
-  for (const auto& [name, caller] : this->callers) {
-    const bool is_known = std::any_of(
-        peers.begin(), peers.end(),
-        [&](const membership::VmRecord& peer) { return peer.name == name; });
-    if (!is_known && name != this->settings.vm) {
-      peers.push_back(caller.record);
+  for (const auto& entry : this->callers) {
+    const bool is_known = std::any_of(peers.begin(), peers.end(),
+                                      [&](const membership::VmRecord& peer) {
+                                        return peer.name == entry.first;
+                                      });
+    if (!is_known && entry.first != this->settings.vm) {
+      peers.push_back(entry.second.record);
     }
   }
   return peers;
