--- a/programs/laburnumkeel-control/group_watch.cpp
+++ b/programs/laburnumkeel-control/group_watch.cpp
@@ -18,6 +18,8 @@
 // promotion takes up to 2 s.
 constexpr kernel::Duration kMoveDelay = std::chrono::milliseconds(2500);
 constexpr std::chrono::milliseconds kMovePollInterval{20};
+// The row is only a hint, and a store outage may last for hours.
+constexpr kernel::Duration kPublicationInterval = std::chrono::seconds(5);
 
 }  // namespace
 
@@ -168,16 +170,21 @@
   if (result.has_value()) {
     this->detector.ObserveTerm(result.value().term);
     this->unpublished = result.value();
+    this->next_publication = this->clock.Now();
     return;
   }
   this->detector.OnFailedPromotion(result.error().highest_term);
 }
 
 void GroupWatch::PublishPending() {
-  if (this->unpublished.has_value() &&
-      this->promoter.Publish(*this->unpublished).has_value()) {
+  const kernel::Instant now = this->clock.Now();
+  if (!this->unpublished.has_value() || now < this->next_publication) {
+    return;
+  }
+  if (this->promoter.Publish(*this->unpublished).has_value()) {
     this->unpublished.reset();
   }
+  this->next_publication = now + kPublicationInterval;
 }
 
 std::vector<std::string> GroupWatch::MemberNames() const {
--- a/programs/laburnumkeel-control/group_watch.h
+++ b/programs/laburnumkeel-control/group_watch.h
@@ -57,6 +57,7 @@
   std::optional<unsigned> rank;
   std::map<std::string, model::EndpointStatus> statuses;
   std::optional<promotion::PromotionResult> unpublished;
+  kernel::Instant next_publication;
   std::optional<kernel::Instant> departing_since;
   kernel::PeriodicTask task;
 };
