--- a/programs/laburnumkeel-control/fleet_state.cpp
+++ b/programs/laburnumkeel-control/fleet_state.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "laburnumkeel/kernel/event_log.h"
+#include "laburnumkeel/kernel/milliseconds.h"
 #include "laburnumkeel/kernel/random_identifier.h"
 #include "programs/laburnumkeel-control/events.h"
 
@@ -15,11 +16,6 @@
 // A VM that has not called for this long is worth calling only if it is listed.
 constexpr kernel::Duration kCallerLifetime = std::chrono::minutes(5);
 
-std::int64_t ToMilliseconds(kernel::Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 }  // namespace
 
 FleetState::FleetState(const ControlSettings& settings)
@@ -47,13 +43,13 @@
   state.configuration_version =
       is_ready ? static_cast<std::int64_t>(evidence.version) : 0;
   state.proof_age_ms = is_ready && evidence.proof_age.has_value()
-                           ? ToMilliseconds(*evidence.proof_age)
+                           ? kernel::ToMilliseconds(*evidence.proof_age)
                            : -1;
   state.reaches_store = this->freshness.ReachesStore();
   for (const configuration::DataCentreContact& contact : evidence.contacts) {
     peer::generated::Contact item;
     item.data_centre = contact.data_centre;
-    item.age_ms = ToMilliseconds(contact.age);
+    item.age_ms = kernel::ToMilliseconds(contact.age);
     item.reaches_store = contact.reaches_store;
     state.contacts.push_back(item);
   }
@@ -202,7 +198,7 @@
   add(this->OwnState(), 0);
   const std::lock_guard lock(this->mutex);
   for (const auto& [vm, entry] : this->peers) {
-    add(entry.state, ToMilliseconds(this->clock.Now() - entry.sent));
+    add(entry.state, kernel::ToMilliseconds(this->clock.Now() - entry.sent));
   }
   return result;
 }
--- a/programs/laburnumkeel-control/local_control_handler.cpp
+++ b/programs/laburnumkeel-control/local_control_handler.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "laburnumkeel/kernel/milliseconds.h"
 #include "laburnumkeel/model/configuration_codec.h"
 
 namespace laburnumkeel::control {
@@ -11,11 +12,6 @@
 // Longer than any setting of `isolated_serving_seconds`.
 constexpr kernel::Duration kLongestIsolation = std::chrono::hours(1000);
 
-std::int64_t ToMilliseconds(kernel::Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 }  // namespace
 
 LocalControlHandler::LocalControlHandler(FleetState& state,
@@ -31,12 +27,13 @@
   const auto current = this->state.Configuration();
   const bool is_ready = this->state.IsReady();
   result.configuration.version = static_cast<std::int64_t>(current->version);
-  result.configuration.proof_age_ms = is_ready && decision.proof_age.has_value()
-                                          ? ToMilliseconds(*decision.proof_age)
-                                          : -1;
+  result.configuration.proof_age_ms =
+      is_ready && decision.proof_age.has_value()
+          ? kernel::ToMilliseconds(*decision.proof_age)
+          : -1;
   result.may_serve_keyed_requests = is_ready && decision.fresh;
   result.isolated_ms =
-      ToMilliseconds(std::min(decision.isolated, kLongestIsolation));
+      kernel::ToMilliseconds(std::min(decision.isolated, kLongestIsolation));
   if (is_ready &&
       report.known_configuration_version < result.configuration.version) {
     result.configuration.document = model::Encode(*current);
@@ -56,7 +53,8 @@
   const auto proof_age = this->state.Freshness().proof_age;
   const auto current = this->state.Configuration();
   result.version = static_cast<std::int64_t>(current->version);
-  result.proof_age_ms = proof_age.has_value() ? ToMilliseconds(*proof_age) : -1;
+  result.proof_age_ms =
+      proof_age.has_value() ? kernel::ToMilliseconds(*proof_age) : -1;
   result.document = model::Encode(*current);
 }
 
