--- /dev/null
+++ b/programs/laburnumkeel-proxy/client_session.cpp
@@ -0,0 +1,400 @@
+#include "programs/laburnumkeel-proxy/client_session.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace laburnumkeel::proxy {
+
+using platform_adapter::ClientStartup;
+using statements::ErrorCode;
+using statements::Statement;
+using statements::StatementKind;
+using statements::TransactionState;
+
+namespace {
+
+// A client that sends more lines than this without waiting for answers breaks
+// the protocol.
+constexpr std::size_t kMaximumQueuedLines = 64;
+// Who is connecting, where a public route serves a client without an account.
+constexpr const char* kAnonymousAccount = "-";
+
+bool IsWrite(const Statement& statement,
+             const std::optional<statements::PreparedShape>& shape) {
+  return statement.kind == StatementKind::kWrite || (shape && shape->is_write);
+}
+
+}  // namespace
+
+ClientSession::ClientSession(SessionEnvironment& environment,
+                             boost::asio::ip::tcp::socket socket,
+                             std::function<void(ClientSession&)> on_end)
+    : environment(environment),
+      stream(std::make_shared<transport::LineStream>(std::move(socket))),
+      on_end(std::move(on_end)),
+      last_activity(environment.context.clock.Now()) {}
+
+void ClientSession::Start() {
+  const std::weak_ptr<ClientSession> weak = this->shared_from_this();
+  this->stream->Start(
+      [weak](std::string_view line) {
+        if (const auto session = weak.lock()) {
+          session->OnLine(line);
+        }
+      },
+      [weak] {
+        if (const auto session = weak.lock()) {
+          session->End();
+        }
+      });
+}
+
+bool ClientSession::IsIdle() const {
+  return !this->job && this->state == TransactionState::kIdle;
+}
+
+bool ClientSession::IsIdleInTransaction() const {
+  return !this->job && this->state != TransactionState::kIdle;
+}
+
+std::string ClientSession::TransactionService() const {
+  return this->transaction ? this->route.service : std::string();
+}
+
+void ClientSession::End() {
+  if (this->has_ended) {
+    return;
+  }
+  this->has_ended = true;
+  const auto self = this->shared_from_this();
+  if (this->job) {
+    this->environment.find_pool(this->route.service)
+        .Cancel(std::exchange(this->job, nullptr));
+  }
+  this->LeaveTransaction();
+  this->stream->CloseAfterWrite();
+  this->on_end(*this);
+}
+
+void ClientSession::LeaveTransaction() {
+  if (!this->transaction) {
+    return;
+  }
+  this->environment.find_pool(this->route.service)
+      .RollBack(std::exchange(this->transaction, nullptr));
+}
+
+void ClientSession::AbortTransaction(const std::string&) {
+  this->LeaveTransaction();
+  if (this->state == TransactionState::kOpen) {
+    this->state = TransactionState::kFailed;
+  }
+}
+
+void ClientSession::OnLine(std::string_view line) {
+  this->last_activity = this->environment.context.clock.Now();
+  if (this->job) {
+    if (this->queued_lines.size() >= kMaximumQueuedLines) {
+      this->End();
+      return;
+    }
+    this->queued_lines.emplace_back(line);
+    return;
+  }
+  const platform_adapter::ClientMessage message =
+      platform_adapter::DecodeClientLine(line);
+  if (std::holds_alternative<platform_adapter::ClientTermination>(message)) {
+    this->End();
+    return;
+  }
+  if (const auto* startup = std::get_if<ClientStartup>(&message)) {
+    this->OnStartup(*startup);
+    return;
+  }
+  const auto* statement = std::get_if<Statement>(&message);
+  if (statement == nullptr || !this->is_started) {
+    this->stream->Write(
+        platform_adapter::EncodeError(ErrorCode::kMalformed, "not a message"));
+    this->End();
+    return;
+  }
+  this->OnStatement(*statement);
+}
+
+void ClientSession::ProcessNext() {
+  while (!this->job && !this->queued_lines.empty() && !this->has_ended) {
+    const std::string line = std::move(this->queued_lines.front());
+    this->queued_lines.pop_front();
+    this->OnLine(line);
+  }
+}
+
+void ClientSession::OnStartup(const ClientStartup& startup) {
+  if (this->is_started) {
+    this->End();
+    return;
+  }
+  this->database = startup.database;
+  this->key = startup.key;
+  const auto refuse = [this](ErrorCode code, std::string_view text) {
+    this->environment.context.metrics.Count("sessions_refused");
+    this->stream->Write(platform_adapter::EncodeError(code, text));
+    this->End();
+  };
+  const auto configuration = this->environment.context.configuration;
+  if (!configuration) {
+    refuse(ErrorCode::kBusy, "no configuration yet");
+    return;
+  }
+  const auto found = configuration->routes.find(this->database);
+  if (found == configuration->routes.end()) {
+    refuse(ErrorCode::kNoDatabase, "unknown database");
+    return;
+  }
+  if (!found->second.is_public &&
+      !configuration->account_of_key.contains(this->key)) {
+    refuse(ErrorCode::kDenied, "unknown key");
+    return;
+  }
+  this->is_started = true;
+  this->environment.context.metrics.Count("sessions_started");
+  this->stream->Write(
+      platform_adapter::EncodeReady(TransactionState::kIdle, std::nullopt));
+}
+
+void ClientSession::ReplyCompletion(const std::string& signature) {
+  this->stream->Write(platform_adapter::EncodeCompletion(signature) +
+                      platform_adapter::EncodeReady(this->state, std::nullopt));
+}
+
+void ClientSession::ReplyError(ErrorCode code, std::string_view text) {
+  this->environment.context.metrics.Count("statements_refused");
+  this->stream->Write(platform_adapter::EncodeError(code, text) +
+                      platform_adapter::EncodeReady(this->state, std::nullopt));
+}
+
+void ClientSession::OnStatement(const Statement& statement) {
+  const bool ends = statement.kind == StatementKind::kCommit ||
+                    statement.kind == StatementKind::kRollback;
+  if (this->state == TransactionState::kFailed) {
+    if (ends) {
+      this->OnEndInFailedState(statement);
+    } else {
+      this->ReplyError(ErrorCode::kMalformed, "the transaction has failed");
+    }
+    return;
+  }
+  switch (statement.kind) {
+    case StatementKind::kSet:
+    case StatementKind::kPrepare:
+    case StatementKind::kDeallocate:
+      this->OnLocalStatement(statement);
+      return;
+    case StatementKind::kBegin:
+    case StatementKind::kBeginReadOnly:
+      this->OnBegin(statement);
+      return;
+    case StatementKind::kRollback:
+      this->OnRollback();
+      return;
+    case StatementKind::kMalformed:
+      this->ReplyError(ErrorCode::kMalformed, "unknown statement");
+      return;
+    case StatementKind::kCommit:
+      if (this->state != TransactionState::kOpen) {
+        this->ReplyError(ErrorCode::kMalformed, "no transaction is open");
+        return;
+      }
+      this->Forward(statement);
+      return;
+    case StatementKind::kRead:
+    case StatementKind::kWrite:
+    case StatementKind::kExecute:
+      this->Forward(statement);
+      return;
+  }
+}
+
+void ClientSession::OnLocalStatement(const Statement& statement) {
+  if (statement.kind == StatementKind::kSet) {
+    this->values.values[statement.name] = statement.argument;
+  } else if (statement.kind == StatementKind::kPrepare) {
+    this->values.prepared[statement.name] = {statement.is_write,
+                                             statement.argument};
+  } else if (this->values.prepared.erase(statement.name) == 0) {
+    this->ReplyError(ErrorCode::kNoPreparedStatement, statement.name);
+    return;
+  }
+  this->ReplyCompletion("-");
+}
+
+bool ClientSession::ResolveOperation() {
+  const auto configuration = this->environment.context.configuration;
+  const auto found = configuration->routes.find(this->database);
+  if (found == configuration->routes.end()) {
+    this->ReplyError(ErrorCode::kNoDatabase, "the database was removed");
+    return false;
+  }
+  const auto holder = configuration->account_of_key.find(this->key);
+  if (holder == configuration->account_of_key.end() &&
+      !found->second.is_public) {
+    this->ReplyError(ErrorCode::kDenied, "unknown key");
+    return false;
+  }
+  this->route = found->second;
+  this->account = holder == configuration->account_of_key.end()
+                      ? kAnonymousAccount
+                      : holder->second;
+  return true;
+}
+
+bool ClientSession::AdmitOperation() {
+  if (this->environment.admit(this->account)) {
+    return true;
+  }
+  this->environment.context.metrics.Count("operations_over_limit");
+  this->ReplyError(ErrorCode::kOverload, "the account is over its rate");
+  return false;
+}
+
+void ClientSession::OnBegin(const Statement& statement) {
+  if (this->state != TransactionState::kIdle) {
+    this->ReplyError(ErrorCode::kMalformed, "a transaction is open");
+    return;
+  }
+  if (!this->ResolveOperation() || !this->AdmitOperation()) {
+    return;
+  }
+  this->state = TransactionState::kOpen;
+  this->transaction_wrote = false;
+  this->is_read_only_transaction =
+      statement.kind == StatementKind::kBeginReadOnly;
+  this->ReplyCompletion("-");
+}
+
+void ClientSession::OnEndInFailedState(const Statement& statement) {
+  this->LeaveTransaction();
+  this->state = TransactionState::kIdle;
+  if (statement.kind == StatementKind::kRollback) {
+    this->ReplyCompletion("-");
+    return;
+  }
+  this->ReplyError(ErrorCode::kAborted, "the transaction has failed");
+}
+
+void ClientSession::OnRollback() {
+  if (this->state == TransactionState::kIdle) {
+    this->ReplyError(ErrorCode::kMalformed, "no transaction is open");
+    return;
+  }
+  this->LeaveTransaction();
+  this->state = TransactionState::kIdle;
+  this->ReplyCompletion("-");
+}
+
+void ClientSession::Forward(const Statement& statement) {
+  std::optional<statements::PreparedShape> shape;
+  if (statement.kind == StatementKind::kExecute) {
+    const auto prepared = this->values.prepared.find(statement.name);
+    if (prepared == this->values.prepared.end()) {
+      this->ReplyError(ErrorCode::kNoPreparedStatement, statement.name);
+      return;
+    }
+    shape = prepared->second;
+  }
+  const bool in_transaction = this->state == TransactionState::kOpen;
+  if (!in_transaction &&
+      (!this->ResolveOperation() || !this->AdmitOperation())) {
+    return;
+  }
+  const bool is_write = IsWrite(statement, shape);
+  auto next = std::make_shared<StatementJob>();
+  next->statement = statement;
+  next->values = this->values.values;
+  next->shape = shape;
+  next->account = this->account;
+  next->route = this->route;
+  const auto& accounts = this->environment.context.configuration->accounts;
+  const auto found = accounts.find(this->account);
+  if (found != accounts.end()) {
+    next->account_regions = found->second.allowed_regions;
+  }
+  next->session_position = this->last_commit;
+  next->arrived = this->environment.context.clock.Now();
+  next->deadline = next->arrived + this->route.statement_timeout;
+  next->opens_transaction = in_transaction && !this->transaction;
+  next->is_read_only_transaction = this->is_read_only_transaction;
+  const bool may_use_replica =
+      this->route.consistency != model::ReadConsistency::kPrimary &&
+      (in_transaction ? this->is_read_only_transaction : !is_write);
+  if (may_use_replica) {
+    next->kind = JobKind::kRead;
+  } else {
+    next->kind =
+        !in_transaction && is_write ? JobKind::kWrite : JobKind::kStrictRead;
+  }
+  const std::weak_ptr<ClientSession> weak = this->shared_from_this();
+  next->done = [weak, raw = next.get()](JobResult result) {
+    if (const auto session = weak.lock()) {
+      session->OnResult(*raw, std::move(result));
+    }
+  };
+  this->job = next;
+  ServicePool& pool = this->environment.find_pool(this->route.service);
+  if (this->transaction) {
+    // The pool hands the connection back with the answer.
+    pool.SubmitPinned(next, std::exchange(this->transaction, nullptr));
+  } else {
+    pool.Submit(next);
+  }
+}
+
+void ClientSession::OnResult(const StatementJob& finished, JobResult result) {
+  const JobPointer keep = std::exchange(this->job, nullptr);
+  if (this->has_ended) {
+    return;
+  }
+  const bool in_transaction = this->state == TransactionState::kOpen;
+  const bool is_commit = finished.statement.kind == StatementKind::kCommit;
+  const bool is_write = IsWrite(finished.statement, finished.shape);
+  this->environment.context.metrics.Observe(
+      "statement_ms",
+      std::chrono::duration<double, std::milli>(
+          this->environment.context.clock.Now() - finished.arrived)
+          .count());
+  const bool has_succeeded = result.reply && result.reply->signature;
+  this->transaction = result.connection;
+  if (has_succeeded) {
+    this->transaction_wrote |= in_transaction && is_write;
+    const bool commits_write =
+        (is_commit && this->transaction_wrote) || (!in_transaction && is_write);
+    if (commits_write && result.reply->position) {
+      this->last_commit = this->last_commit ? std::max(*this->last_commit,
+                                                       *result.reply->position)
+                                            : *result.reply->position;
+    }
+    if (is_commit) {
+      this->state = TransactionState::kIdle;
+    }
+    this->stream->Write(
+        result.reply->rows +
+        platform_adapter::EncodeCompletion(*result.reply->signature) +
+        platform_adapter::EncodeReady(this->state, result.reply->position));
+    this->ProcessNext();
+    return;
+  }
+  if (in_transaction) {
+    this->LeaveTransaction();
+    this->state =
+        is_commit ? TransactionState::kIdle : TransactionState::kFailed;
+  }
+  if (result.reply) {
+    this->ReplyError(result.reply->error, result.reply->error_text);
+  } else {
+    this->ReplyError(result.error, result.reason);
+  }
+  this->ProcessNext();
+}
+
+}  // namespace laburnumkeel::proxy
--- /dev/null
+++ b/programs/laburnumkeel-proxy/client_session.h
@@ -0,0 +1,102 @@
+#ifndef LABURNUMKEEL_PROGRAMS_PROXY_CLIENT_SESSION_H_
+#define LABURNUMKEEL_PROGRAMS_PROXY_CLIENT_SESSION_H_
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "laburnumkeel/model/log_position.h"
+#include "laburnumkeel/statements/session_values.h"
+#include "laburnumkeel/statements/statement.h"
+#include "laburnumkeel/transport/line_stream.h"
+#include "platform/wire_codec.h"
+#include "programs/laburnumkeel-proxy/proxy_context.h"
+#include "programs/laburnumkeel-proxy/service_pool.h"
+#include "programs/laburnumkeel-proxy/statement_job.h"
+
+namespace laburnumkeel::proxy {
+
+// What a session needs from the rest of the program.
+struct SessionEnvironment {
+  ProxyContext& context;
+  std::function<ServicePool&(const std::string& service)> find_pool;
+  // Charges one operation to an account; false when it is over its limit.
+  std::function<bool(const std::string& account)> admit;
+};
+
+// One client connection: its values, prepared statements and transaction.
+class ClientSession : public std::enable_shared_from_this<ClientSession> {
+ public:
+  ClientSession(SessionEnvironment& environment,
+                boost::asio::ip::tcp::socket socket,
+                std::function<void(ClientSession&)> on_end);
+
+  void Start();
+
+  // No statement is outstanding and no transaction is open.
+  bool IsIdle() const;
+  // A transaction is open and no statement is outstanding.
+  bool IsIdleInTransaction() const;
+  kernel::Instant LastActivity() const { return this->last_activity; }
+
+  // Ends the session and what it has at endpoints.
+  void End();
+
+  // Ends the open transaction; the client learns it with its next statement.
+  void AbortTransaction(const std::string& reason);
+
+  // Endpoint on which the session has a transaction; empty without one.
+  std::string TransactionService() const;
+  const std::shared_ptr<EndpointConnection>& TransactionConnection() const {
+    return this->transaction;
+  }
+
+ private:
+  void OnLine(std::string_view line);
+  void OnStartup(const platform_adapter::ClientStartup& startup);
+  void OnStatement(const statements::Statement& statement);
+  void OnLocalStatement(const statements::Statement& statement);
+  void OnBegin(const statements::Statement& statement);
+  void OnEndInFailedState(const statements::Statement& statement);
+  void OnRollback();
+  void Forward(const statements::Statement& statement);
+  void OnResult(const StatementJob& job, JobResult result);
+  void ProcessNext();
+
+  // The route and account of the next operation under the present
+  // configuration; answers the client when there is none.
+  bool ResolveOperation();
+  bool AdmitOperation();
+
+  void ReplyCompletion(const std::string& signature);
+  void ReplyError(statements::ErrorCode code, std::string_view text);
+  void LeaveTransaction();
+
+  SessionEnvironment& environment;
+  std::shared_ptr<transport::LineStream> stream;
+  std::function<void(ClientSession&)> on_end;
+  std::string database;
+  std::string key;
+  bool is_started = false;
+  bool has_ended = false;
+  statements::SessionValues values;
+  statements::TransactionState state = statements::TransactionState::kIdle;
+  bool is_read_only_transaction = false;
+  // Set while a transaction is open at an endpoint.
+  std::shared_ptr<EndpointConnection> transaction;
+  std::string transaction_endpoint;
+  bool transaction_wrote = false;
+  model::DatabaseRoute route;
+  std::string account;
+  std::optional<model::LogPosition> last_commit;
+  JobPointer job;
+  std::deque<std::string> queued_lines;
+  kernel::Instant last_activity;
+};
+
+}  // namespace laburnumkeel::proxy
+
+#endif  // LABURNUMKEEL_PROGRAMS_PROXY_CLIENT_SESSION_H_
--- /dev/null
+++ b/programs/laburnumkeel-proxy/endpoint_connection.h
@@ -0,0 +1,87 @@
+#ifndef LABURNUMKEEL_PROGRAMS_PROXY_ENDPOINT_CONNECTION_H_
+#define LABURNUMKEEL_PROGRAMS_PROXY_ENDPOINT_CONNECTION_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "laburnumkeel/kernel/clock.h"
+#include "laburnumkeel/model/database_endpoint.h"
+#include "laburnumkeel/statements/session_values.h"
+#include "laburnumkeel/statements/statement.h"
+#include "laburnumkeel/transport/line_stream.h"
+#include "platform/wire_codec.h"
+
+namespace laburnumkeel::proxy {
+
+// A connection to an endpoint on behalf of one client account. Statements of
+// many client sessions use it in turn. Runs on the event loop.
+class EndpointConnection
+    : public std::enable_shared_from_this<EndpointConnection> {
+ public:
+  enum class OpenResult {
+    kOpened,
+    // The endpoint has no free connection.
+    kOverload,
+    // The endpoint at the address is not the expected one.
+    kMisrouted,
+    kUnreachable,
+  };
+  using OpenHandler = std::function<void(OpenResult result)>;
+  // Empty when the connection ended without the complete answer.
+  using ReplyHandler =
+      std::function<void(std::optional<statements::EndpointReply> reply)>;
+
+  EndpointConnection(boost::asio::io_context& loop,
+                     const model::DatabaseEndpoint& endpoint,
+                     std::string account);
+
+  void Open(OpenHandler handler);
+
+  // Sends `setup_bytes`, whose `setup_replies` answers are read first, and one
+  // statement. The connection has to be open and not busy. When a statement of
+  // the setup fails, the answer is reported and the connection closes itself.
+  void Send(const std::string& bytes, int setup_replies, ReplyHandler handler);
+
+  // Ends the connection; the endpoint rolls back. No handler runs any more.
+  void Close();
+
+  bool IsOpen() const { return this->is_open && !this->is_closed; }
+  bool IsClosed() const { return this->is_closed; }
+  bool IsBusy() const { return static_cast<bool>(this->reply_handler); }
+
+  const std::string& Account() const { return this->account; }
+  statements::ConnectionValues& Values() { return this->values; }
+
+  // True while a client's transaction owns the connection.
+  bool is_pinned = false;
+  kernel::Instant last_used;
+
+ private:
+  void OnLine(std::string_view line);
+  void OnClosed();
+  void FinishOpen(OpenResult result);
+  void FinishReply(std::optional<statements::EndpointReply> reply);
+
+  boost::asio::ip::tcp::socket socket;
+  std::shared_ptr<transport::LineStream> stream;
+  const std::string address;
+  const std::string startup;
+  const std::string account;
+  statements::ConnectionValues values;
+  platform_adapter::ReplyDecoder decoder;
+  OpenHandler open_handler;
+  ReplyHandler reply_handler;
+  int replies_to_skip = 0;
+  bool has_setup_failed = false;
+  bool is_open = false;
+  bool is_closed = false;
+};
+
+}  // namespace laburnumkeel::proxy
+
+#endif  // LABURNUMKEEL_PROGRAMS_PROXY_ENDPOINT_CONNECTION_H_
--- /dev/null
+++ b/programs/laburnumkeel-proxy/fleet_rows.cpp
@@ -0,0 +1,64 @@
+#include "programs/laburnumkeel-proxy/fleet_rows.h"
+
+#include <nlohmann/json.hpp>
+
+namespace laburnumkeel::proxy {
+
+namespace {
+
+using nlohmann::json;
+
+}  // namespace
+
+std::string EncodeDuty(const promotion::DutyRecord& record) {
+  return json({{"holder", record.holder},
+               {"address", record.address},
+               {"token", record.token}})
+      .dump();
+}
+
+std::optional<promotion::DutyRecord> DecodeDuty(std::string_view value) {
+  try {
+    const json document = json::parse(value);
+    return promotion::DutyRecord{document.at("holder").get<std::string>(),
+                                 document.at("address").get<std::string>(),
+                                 document.at("token").get<std::uint64_t>()};
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string EncodePrimary(const routing::PrimaryRecord& record) {
+  return json({{"endpoint", record.endpoint_id},
+               {"term", record.term},
+               {"changing", record.is_changing}})
+      .dump();
+}
+
+std::optional<routing::PrimaryRecord> DecodePrimary(std::string_view service,
+                                                    std::uint64_t version,
+                                                    std::string_view value) {
+  try {
+    const json document = json::parse(value);
+    return routing::PrimaryRecord{std::string(service),
+                                  document.at("endpoint").get<std::string>(),
+                                  document.at("term").get<model::Term>(),
+                                  document.at("changing").get<bool>(), version};
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string EncodeVm(const std::string& peer_address) {
+  return json({{"address", peer_address}}).dump();
+}
+
+std::optional<std::string> DecodeVm(std::string_view value) {
+  try {
+    return json::parse(value).at("address").get<std::string>();
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace laburnumkeel::proxy
--- /dev/null
+++ b/programs/laburnumkeel-proxy/primary_duty.cpp
@@ -0,0 +1,523 @@
+#include "programs/laburnumkeel-proxy/primary_duty.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "laburnumkeel/kernel/event_log.h"
+#include "laburnumkeel/kernel/milliseconds.h"
+#include "platform/promotion_call.h"
+#include "programs/laburnumkeel-proxy/events.h"
+#include "programs/laburnumkeel-proxy/fleet_rows.h"
+
+namespace laburnumkeel::proxy {
+
+using kernel::Instant;
+using kernel::LogEvent;
+using promotion::ChangeAction;
+using promotion::ChangeMember;
+using promotion::ChangeStep;
+using std::chrono::milliseconds;
+using WriteOutcome = StoreLink::WriteOutcome;
+
+namespace {
+
+constexpr milliseconds kAskPeriod{400};
+constexpr milliseconds kAskTimeout{700};
+// Without an answer for this long a primary counts as failed. A wrong suspicion
+// costs a change of primary, not a promise.
+constexpr milliseconds kSuspicion{1300};
+constexpr milliseconds kMemberAskPeriod{100};
+// The duty has to hold for that much longer when the platform is asked to
+// promote: it covers the call's own time.
+constexpr milliseconds kDutyMargin{2000};
+// Proofs are waited for by this much longer, for the drift of clocks.
+constexpr milliseconds kProofMargin{100};
+constexpr int kStatusOk = 200;
+
+}  // namespace
+
+PrimaryDuty::PrimaryDuty(
+    ProxyContext& context, StoreLink& store,
+    std::function<ServicePool&(const std::string&)> find_pool)
+    : context(context),
+      store(store),
+      find_pool(std::move(find_pool)),
+      lease(context.settings.vm) {}
+
+bool PrimaryDuty::IsHeld() const {
+  return this->lease.IsHeld(this->context.clock.Now());
+}
+
+void PrimaryDuty::OnDutyRow(const promotion::DutyRecord* record,
+                            std::uint64_t version) {
+  if (record == nullptr) {
+    this->lease.ObserveAbsent();
+    return;
+  }
+  this->lease.Observe(*record, version, this->context.clock.Now());
+}
+
+void PrimaryDuty::Tick(Instant now) {
+  if (!this->context.configuration) {
+    return;
+  }
+  this->Renew(now);
+  const bool is_held = this->lease.IsHeld(now);
+  if (is_held != this->was_held) {
+    LogEvent(is_held ? kDutyTaken : kDutyLost,
+             {{"token", this->lease.Record() ? this->lease.Record()->token : 0},
+              {"row_version", this->lease.Version()}});
+    this->was_held = is_held;
+    this->watches.clear();
+  }
+  if (!is_held || this->is_released) {
+    return;
+  }
+  for (const auto& [service, definition] :
+       this->context.configuration->services) {
+    this->WatchService(service, now);
+  }
+}
+
+void PrimaryDuty::Renew(Instant now) {
+  if (this->is_writing || this->is_released || now < this->renew_at) {
+    return;
+  }
+  const bool is_held = this->lease.IsHeld(now);
+  if (!is_held && !this->lease.MayClaim(now)) {
+    return;
+  }
+  promotion::DutyRecord record;
+  record.holder = this->context.settings.vm;
+  record.address = this->context.settings.ip + ":" +
+                   std::to_string(this->context.settings.peer_port);
+  const std::uint64_t last_token =
+      this->lease.Record() ? this->lease.Record()->token : 0;
+  record.token = is_held ? last_token : last_token + 1;
+  this->is_writing = true;
+  this->renew_at = now + promotion::DutyLease::kRenewalPeriod;
+  this->store.Write(
+      {{std::string(kFleetTable), std::string(kDutyKey),
+        this->lease.Version()}},
+      {{std::string(kFleetTable), std::string(kDutyKey), EncodeDuty(record)}},
+      [this, record, now](const WriteOutcome& outcome) {
+        this->is_writing = false;
+        if (outcome.kind == WriteOutcome::Kind::kDone) {
+          this->lease.OnWritten(record, outcome.version, now);
+        }
+      });
+}
+
+void PrimaryDuty::Release(std::function<void()> done) {
+  const bool is_held = this->IsHeld();
+  this->is_released = true;
+  if (!is_held) {
+    done();
+    return;
+  }
+  promotion::DutyRecord record = *this->lease.Record();
+  record.holder.clear();
+  this->store.Write(
+      {{std::string(kFleetTable), std::string(kDutyKey),
+        this->lease.Version()}},
+      {{std::string(kFleetTable), std::string(kDutyKey), EncodeDuty(record)}},
+      [done = std::move(done)](const WriteOutcome&) { done(); });
+}
+
+void PrimaryDuty::WatchService(const std::string& service, Instant now) {
+  const auto [entry, is_new] = this->watches.try_emplace(service);
+  Watch& watch = entry->second;
+  if (is_new) {
+    watch.last_answer = now;
+  }
+  const routing::PrimaryRecord* record = this->context.primaries.Find(service);
+  if (record == nullptr) {
+    this->PublishFirst(service, watch);
+    return;
+  }
+  if (watch.change) {
+    this->AdvanceChange(service, watch, now);
+    return;
+  }
+  this->Ask(service, watch, now);
+  this->ConsiderChange(service, watch, now);
+}
+
+void PrimaryDuty::PublishFirst(const std::string& service, Watch& watch) {
+  if (watch.is_publishing) {
+    return;
+  }
+  for (const auto& [id, endpoint] : this->context.endpoints) {
+    if (endpoint.service != service || !endpoint.claims_primary) {
+      continue;
+    }
+    watch.is_publishing = true;
+    this->WritePrimary({service, id, 0, false, 0}, [this, service](bool) {
+      this->watches[service].is_publishing = false;
+    });
+    return;
+  }
+}
+
+void PrimaryDuty::WritePrimary(const routing::PrimaryRecord& record,
+                               std::function<void(bool)> handler) {
+  const std::string key = std::string(kPrimaryKeyPrefix) + record.service;
+  const std::string table(kFleetTable);
+  const Instant sent = this->context.clock.Now();
+  // The duty's row in the condition: a VM that lost the duty changes nothing.
+  const auto lease_version = this->lease.Version();
+  const promotion::DutyRecord duty = *this->lease.Record();
+  this->store.Write(
+      {{table, key, this->store.PrimaryVersion(record.service)},
+       {table, std::string(kDutyKey), lease_version}},
+      {{table, key, EncodePrimary(record)}},
+      [this, record, sent,
+       handler = std::move(handler)](const WriteOutcome& outcome) {
+        const bool is_done = outcome.kind == WriteOutcome::Kind::kDone;
+        if (is_done) {
+          routing::PrimaryRecord published = record;
+          published.version = outcome.version;
+          this->context.primaries.Adopt(published);
+          this->context.primaries.Confirm(record.service, outcome.version,
+                                          sent);
+          this->store.OnPrimaryWritten(record.service, outcome.version);
+        }
+        handler(is_done);
+      });
+}
+
+void PrimaryDuty::Ask(const std::string& service, Watch& watch, Instant now) {
+  if (watch.is_asking || now < watch.asked + kAskPeriod) {
+    return;
+  }
+  const std::string primary =
+      this->context.primaries.Find(service)->endpoint_id;
+  if (!this->context.endpoints.contains(primary)) {
+    return;
+  }
+  watch.is_asking = true;
+  watch.asked = now;
+  this->find_pool(service).RunInternal(
+      primary, platform_adapter::StatusText(), kAskTimeout,
+      [this, service,
+       primary](const std::optional<statements::EndpointReply>& reply) {
+        const auto found = this->watches.find(service);
+        if (found == this->watches.end()) {
+          return;
+        }
+        Watch& asked = found->second;
+        asked.is_asking = false;
+        if (!reply) {
+          return;
+        }
+        asked.last_answer = this->context.clock.Now();
+        const auto state = platform_adapter::DecodeEndpointState(reply->rows);
+        const routing::PrimaryRecord* current =
+            this->context.primaries.Find(service);
+        if (state && current != nullptr && current->endpoint_id == primary) {
+          asked.has_lost_lead = !state->is_primary;
+          asked.term = std::max(asked.term, state->term);
+        }
+      });
+}
+
+bool PrimaryDuty::IsEligible(const std::string& endpoint_id) const {
+  const auto endpoint = this->context.endpoints.find(endpoint_id);
+  return endpoint != this->context.endpoints.end() &&
+         !endpoint->second.is_draining &&
+         !this->context.evacuated.contains(endpoint->second.data_centre);
+}
+
+void PrimaryDuty::ConsiderChange(const std::string& service, Watch& watch,
+                                 Instant now) {
+  const routing::PrimaryRecord& record = *this->context.primaries.Find(service);
+  if (record.is_changing) {
+    this->StartChange(service, watch, false, "left unfinished", now);
+    return;
+  }
+  if (!this->context.endpoints.contains(record.endpoint_id)) {
+    // A database that took over the log at the former address leads already.
+    for (const auto& [id, endpoint] : this->context.endpoints) {
+      if (endpoint.service == service && endpoint.claims_primary &&
+          !watch.is_publishing) {
+        watch.is_publishing = true;
+        LogEvent(kChangeEnded, {{"service", service},
+                                {"endpoint", id},
+                                {"reason", "successor of a departed primary"}});
+        this->WritePrimary(
+            {service, id, watch.term, false, 0}, [this, service](bool) {
+              this->watches[service].is_publishing = false;
+              this->watches[service].last_answer = this->context.clock.Now();
+            });
+        return;
+      }
+    }
+    if (!watch.is_publishing) {
+      this->StartChange(service, watch, false, "the primary is gone", now);
+    }
+    return;
+  }
+  if (watch.has_lost_lead) {
+    this->StartChange(service, watch, false, "the primary does not lead", now);
+    return;
+  }
+  if (now >= watch.last_answer + kSuspicion) {
+    this->StartChange(service, watch, false, "the primary does not answer",
+                      now);
+    return;
+  }
+  const bool has_alternative =
+      std::any_of(this->context.endpoints.begin(),
+                  this->context.endpoints.end(), [&](const auto& entry) {
+                    return entry.second.service == service &&
+                           entry.first != record.endpoint_id &&
+                           this->IsEligible(entry.first);
+                  });
+  if (!this->IsEligible(record.endpoint_id) && has_alternative) {
+    this->StartChange(service, watch, true, "the primary has to leave", now);
+  }
+}
+
+void PrimaryDuty::StartChange(const std::string& service, Watch& watch,
+                              bool is_planned, const std::string& reason,
+                              Instant now) {
+  const routing::PrimaryRecord& record = *this->context.primaries.Find(service);
+  LogEvent(kChangeStarted, {{"service", service},
+                            {"endpoint", record.endpoint_id},
+                            {"row_version", record.version},
+                            {"planned", is_planned},
+                            {"reason", reason}});
+  Change& change = watch.change.emplace();
+  change.is_planned = is_planned;
+  change.started = now;
+  this->Announce(service, watch);
+}
+
+void PrimaryDuty::Announce(const std::string& service, Watch& watch) {
+  watch.change->is_announcing = true;
+  routing::PrimaryRecord record = *this->context.primaries.Find(service);
+  record.is_changing = true;
+  this->WritePrimary(record, [this, service](bool is_done) {
+    const auto found = this->watches.find(service);
+    if (found == this->watches.end() || !found->second.change) {
+      return;
+    }
+    Change& change = *found->second.change;
+    change.is_announcing = false;
+    if (is_done) {
+      change.proofs_lapse_at = this->context.clock.Now() +
+                               routing::PrimaryTable::kProofLifetime +
+                               kProofMargin;
+    }
+  });
+}
+
+void PrimaryDuty::AskMembers(const std::string& service, Change& change,
+                             Instant now) {
+  for (const auto& [id, endpoint] : this->context.endpoints) {
+    if (endpoint.service != service ||
+        now < change.asked[id] + kMemberAskPeriod) {
+      continue;
+    }
+    // One question at a time; the answer sets the time back.
+    change.asked[id] = now + kAskTimeout;
+    this->Command(service, id, platform_adapter::StatusText());
+  }
+}
+
+void PrimaryDuty::Command(const std::string& service,
+                          const std::string& endpoint_id,
+                          const std::string& text) {
+  this->find_pool(service).RunInternal(
+      endpoint_id, text, kAskTimeout,
+      [this, service,
+       endpoint_id](const std::optional<statements::EndpointReply>& reply) {
+        this->OnMemberAnswer(service, endpoint_id, reply);
+      });
+}
+
+void PrimaryDuty::OnMemberAnswer(
+    const std::string& service, const std::string& endpoint_id,
+    const std::optional<statements::EndpointReply>& reply) {
+  const auto found = this->watches.find(service);
+  if (found == this->watches.end() || !found->second.change) {
+    return;
+  }
+  Watch& watch = found->second;
+  Change& change = *watch.change;
+  const Instant now = this->context.clock.Now();
+  change.asked[endpoint_id] = now;
+  ChangeMember& member = change.members[endpoint_id];
+  member.id = endpoint_id;
+  std::optional<platform_adapter::EndpointState> state;
+  if (reply) {
+    state = platform_adapter::DecodeEndpointState(reply->rows);
+  }
+  if (!state) {
+    member.has_answered = false;
+    return;
+  }
+  member.has_answered = true;
+  member.is_primary = state->is_primary;
+  member.term = state->term;
+  member.received = state->received;
+  member.paused_term = state->paused_term;
+  watch.term = std::max(watch.term, state->term);
+  this->AdvanceChange(service, watch, now);
+}
+
+void PrimaryDuty::AdvanceChange(const std::string& service, Watch& watch,
+                                Instant now) {
+  Change& change = *watch.change;
+  this->AskMembers(service, change, now);
+  if (change.is_announcing || change.is_calling || change.is_publishing) {
+    return;
+  }
+  if (!change.proofs_lapse_at) {
+    this->Announce(service, watch);
+    return;
+  }
+  promotion::ChangeView view;
+  view.former = this->context.primaries.Find(service)->endpoint_id;
+  view.is_planned = change.is_planned;
+  view.proofs_lapsed = now >= *change.proofs_lapse_at;
+  model::Term highest = 0;
+  for (const auto& [id, endpoint] : this->context.endpoints) {
+    if (endpoint.service != service) {
+      continue;
+    }
+    ChangeMember member = change.members[id];
+    member.id = id;
+    member.is_eligible = this->IsEligible(id);
+    highest = std::max(highest, member.term);
+    view.members.push_back(member);
+  }
+  if (change.next_term == 0 && highest > 0) {
+    change.next_term = highest + 1;
+  }
+  view.next_term = change.next_term;
+  if (view.next_term == 0) {
+    return;
+  }
+  this->TakeStep(service, watch, promotion::NextStep(view), now);
+}
+
+void PrimaryDuty::TakeStep(const std::string& service, Watch& watch,
+                           const ChangeStep& step, Instant now) {
+  Change& change = *watch.change;
+  if (step != change.last_step && step.action != ChangeAction::kWait) {
+    LogEvent(kChangeStep,
+             {{"service", service},
+              {"action", static_cast<int>(step.action)},
+              {"endpoint", step.endpoint},
+              {"term", change.next_term},
+              {"elapsed_ms", kernel::ToMilliseconds(now - change.started)}});
+  }
+  change.last_step = step;
+  switch (step.action) {
+    case ChangeAction::kWait:
+      return;
+    case ChangeAction::kPause:
+      if (change.members[step.endpoint].has_answered) {
+        change.members[step.endpoint].has_answered = false;
+        change.asked[step.endpoint] = now + kAskTimeout;
+        this->Command(service, step.endpoint,
+                      platform_adapter::PauseText(change.next_term));
+      }
+      return;
+    case ChangeAction::kResume:
+      change.members[step.endpoint].has_answered = false;
+      change.asked[step.endpoint] = now + kAskTimeout;
+      this->Command(service, step.endpoint, platform_adapter::ResumeText());
+      return;
+    case ChangeAction::kPromote:
+      this->Promote(service, watch, step.endpoint, now);
+      return;
+    case ChangeAction::kPublish:
+      this->Publish(service, watch, step.endpoint,
+                    change.members[step.endpoint].term);
+      return;
+  }
+}
+
+void PrimaryDuty::Promote(const std::string& service, Watch& watch,
+                          const std::string& endpoint_id, Instant now) {
+  if (now + kDutyMargin >= this->lease.HeldUntil()) {
+    return;
+  }
+  Change& change = *watch.change;
+  // Once the platform was asked, no other endpoint may be named: the answer may
+  // be lost while the call takes effect.
+  if (!change.promoting.empty() && change.promoting != endpoint_id) {
+    return;
+  }
+  change.promoting = endpoint_id;
+  change.is_calling = true;
+  auto& channel = this->channels[service];
+  if (!channel) {
+    channel = std::make_unique<transport::HttpChannel>(
+        this->context.loop, this->context.settings.promotion_address);
+  }
+  if (channel->IsBusy()) {
+    change.is_calling = false;
+    return;
+  }
+  channel->Send(
+      platform_adapter::PromotionCall(service, endpoint_id,
+                                      this->context.settings.vm,
+                                      this->lease.Record()->token),
+      [this, service, endpoint_id](const transport::HttpAnswer& answer) {
+        LogEvent(kChangeStep, {{"service", service},
+                               {"action", "promotion_answered"},
+                               {"endpoint", endpoint_id},
+                               {"status", answer.status}});
+        const auto found = this->watches.find(service);
+        if (found == this->watches.end() || !found->second.change) {
+          return;
+        }
+        Change& called = *found->second.change;
+        called.is_calling = false;
+        if (answer.status != kStatusOk && answer.status != 0) {
+          called.promoting.clear();
+        }
+      });
+}
+
+void PrimaryDuty::Publish(const std::string& service, Watch& watch,
+                          const std::string& endpoint_id, model::Term term) {
+  watch.change->is_publishing = true;
+  const std::string former = this->context.primaries.Find(service)->endpoint_id;
+  for (const auto& [id, endpoint] : this->context.endpoints) {
+    if (endpoint.service != service || id == endpoint_id) {
+      continue;
+    }
+    this->Command(service, id,
+                  id == former ? platform_adapter::StepDownText(term)
+                               : platform_adapter::ResumeText());
+  }
+  this->WritePrimary(
+      {service, endpoint_id, term, false, 0},
+      [this, service, endpoint_id, term](bool is_done) {
+        const auto found = this->watches.find(service);
+        if (found == this->watches.end() || !found->second.change) {
+          return;
+        }
+        Watch& published = found->second;
+        if (!is_done) {
+          published.change->is_publishing = false;
+          return;
+        }
+        LogEvent(kChangeEnded,
+                 {{"service", service},
+                  {"endpoint", endpoint_id},
+                  {"term", term},
+                  {"elapsed_ms",
+                   kernel::ToMilliseconds(this->context.clock.Now() -
+                                          published.change->started)}});
+        published.change.reset();
+        published.has_lost_lead = false;
+        published.last_answer = this->context.clock.Now();
+      });
+}
+
+}  // namespace laburnumkeel::proxy
--- /dev/null
+++ b/programs/laburnumkeel-proxy/primary_duty.h
@@ -0,0 +1,106 @@
+#ifndef LABURNUMKEEL_PROGRAMS_PROXY_PRIMARY_DUTY_H_
+#define LABURNUMKEEL_PROGRAMS_PROXY_PRIMARY_DUTY_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "laburnumkeel/promotion/change_plan.h"
+#include "laburnumkeel/promotion/duty_lease.h"
+#include "laburnumkeel/transport/http_channel.h"
+#include "platform/wire_codec.h"
+#include "programs/laburnumkeel-proxy/proxy_context.h"
+#include "programs/laburnumkeel-proxy/service_pool.h"
+#include "programs/laburnumkeel-proxy/store_link.h"
+
+namespace laburnumkeel::proxy {
+
+// Watches the primaries while this VM holds the duty, and replaces those that
+// fail or leave. Decisions are in laburnumkeel::promotion.
+class PrimaryDuty {
+ public:
+  PrimaryDuty(ProxyContext& context, StoreLink& store,
+              std::function<ServicePool&(const std::string&)> find_pool);
+
+  void OnDutyRow(const promotion::DutyRecord* record, std::uint64_t version);
+
+  void Tick(kernel::Instant now);
+
+  // Hands the duty back. `done` runs when the store has answered.
+  void Release(std::function<void()> done);
+
+  bool IsHeld() const;
+
+ private:
+  struct Change {
+    bool is_planned = false;
+    model::Term next_term = 0;
+    kernel::Instant started;
+    // Proofs given before have lapsed from then on; empty until the store has
+    // taken the announcement.
+    std::optional<kernel::Instant> proofs_lapse_at;
+    bool is_announcing = false;
+    bool is_calling = false;
+    bool is_publishing = false;
+    std::string promoting;
+    std::map<std::string, promotion::ChangeMember> members;
+    std::map<std::string, kernel::Instant> asked;
+    promotion::ChangeStep last_step;
+  };
+
+  struct Watch {
+    kernel::Instant last_answer;
+    kernel::Instant asked;
+    bool is_asking = false;
+    // The primary answered as a replica, or its process is a new one.
+    bool has_lost_lead = false;
+    model::Term term = 0;
+    bool is_publishing = false;
+    std::optional<Change> change;
+  };
+
+  void Renew(kernel::Instant now);
+  void WatchService(const std::string& service, kernel::Instant now);
+  void PublishFirst(const std::string& service, Watch& watch);
+  void Ask(const std::string& service, Watch& watch, kernel::Instant now);
+  void ConsiderChange(const std::string& service, Watch& watch,
+                      kernel::Instant now);
+  bool IsEligible(const std::string& endpoint_id) const;
+  void StartChange(const std::string& service, Watch& watch, bool is_planned,
+                   const std::string& reason, kernel::Instant now);
+  void Announce(const std::string& service, Watch& watch);
+  void AdvanceChange(const std::string& service, Watch& watch,
+                     kernel::Instant now);
+  void AskMembers(const std::string& service, Change& change,
+                  kernel::Instant now);
+  void Command(const std::string& service, const std::string& endpoint_id,
+               const std::string& text);
+  void OnMemberAnswer(const std::string& service,
+                      const std::string& endpoint_id,
+                      const std::optional<statements::EndpointReply>& reply);
+  void TakeStep(const std::string& service, Watch& watch,
+                const promotion::ChangeStep& step, kernel::Instant now);
+  void Promote(const std::string& service, Watch& watch,
+               const std::string& endpoint_id, kernel::Instant now);
+  void Publish(const std::string& service, Watch& watch,
+               const std::string& endpoint_id, model::Term term);
+  void WritePrimary(const routing::PrimaryRecord& record,
+                    std::function<void(bool)> handler);
+
+  ProxyContext& context;
+  StoreLink& store;
+  std::function<ServicePool&(const std::string&)> find_pool;
+  promotion::DutyLease lease;
+  std::map<std::string, Watch> watches;
+  std::map<std::string, std::unique_ptr<transport::HttpChannel>> channels;
+  kernel::Instant renew_at;
+  bool is_writing = false;
+  bool was_held = false;
+  bool is_released = false;
+};
+
+}  // namespace laburnumkeel::proxy
+
+#endif  // LABURNUMKEEL_PROGRAMS_PROXY_PRIMARY_DUTY_H_
--- /dev/null
+++ b/programs/laburnumkeel-proxy/proxy.cpp
@@ -0,0 +1,287 @@
+#include "programs/laburnumkeel-proxy/proxy.h"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <utility>
+#include <vector>
+
+#include "laburnumkeel/kernel/event_log.h"
+#include "laburnumkeel/limits/vm_share.h"
+#include "laburnumkeel/transport/socket_address.h"
+#include "platform/promotion_call.h"
+#include "programs/laburnumkeel-proxy/events.h"
+
+namespace laburnumkeel::proxy {
+
+using kernel::Instant;
+using kernel::LogEvent;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Resolution of statement timeouts while statements are under way.
+constexpr milliseconds kBusyTick{25};
+constexpr milliseconds kIdleTick{100};
+// After a restart of the whole fleet all clients connect at once.
+constexpr int kListenBacklog = 1024;
+constexpr int kStatusOk = 200;
+constexpr int kStatusUnavailable = 503;
+constexpr int kStatusNotFound = 404;
+// The balancer stops sending clients after two failed probes of one second
+// each; idle sessions are ended evenly over this time afterwards.
+constexpr milliseconds kBalancerDelay{2200};
+constexpr milliseconds kIdleSessionSpread{1500};
+// The program ends this long before it would be killed.
+constexpr milliseconds kStopMargin{800};
+constexpr std::chrono::hours kLimitLifetime{24};
+
+}  // namespace
+
+Proxy::Proxy(platform_adapter::ProxySettings settings,
+             std::string settings_path)
+    : context(std::move(settings)),
+      settings_path(std::move(settings_path)),
+      store(this->context, {[this] { this->OnDirectoryChanged(); },
+                            [this](const promotion::DutyRecord* record,
+                                   std::uint64_t version) {
+                              this->duty.OnDutyRow(record, version);
+                            }}),
+      duty(this->context, this->store,
+           [this](const std::string& service) -> ServicePool& {
+             return this->FindPool(service);
+           }),
+      environment{
+          this->context,
+          [this](const std::string& service) -> ServicePool& {
+            return this->FindPool(service);
+          },
+          [this](const std::string& account) { return this->Admit(account); }},
+      acceptor(this->context.loop),
+      probe(this->context.loop,
+            [this](const std::string& target) {
+              return this->AnswerProbe(target);
+            }),
+      signals(this->context.loop, SIGTERM, SIGINT, SIGHUP),
+      tick_timer(this->context.loop) {}
+
+int Proxy::Run() {
+  if (!this->Listen()) {
+    return 1;
+  }
+  this->WaitForSignal();
+  this->store.Start();
+  this->ScheduleTick();
+  this->context.loop.run();
+  LogEvent(kProxyStopped, {{"vm", this->context.settings.vm}});
+  return 0;
+}
+
+bool Proxy::Listen() {
+  const auto endpoint =
+      transport::ParseSocketAddress(this->context.settings.client_address);
+  boost::system::error_code error =
+      boost::asio::error::make_error_code(boost::asio::error::invalid_argument);
+  if (endpoint) {
+    this->acceptor.open(endpoint->protocol(), error);
+    this->acceptor.set_option(boost::asio::socket_base::reuse_address(true),
+                              error);
+    this->acceptor.bind(*endpoint, error);
+  }
+  if (!error) {
+    this->acceptor.listen(kListenBacklog, error);
+  }
+  if (error || !this->probe.Listen(this->context.settings.readiness_address)) {
+    LogEvent(kSettingsInvalid,
+             {{"reason", "an address cannot be used"},
+              {"client_address", this->context.settings.client_address},
+              {"error", error.message()}});
+    return false;
+  }
+  this->Accept();
+  return true;
+}
+
+void Proxy::Accept() {
+  this->acceptor.async_accept([this](boost::system::error_code error,
+                                     boost::asio::ip::tcp::socket socket) {
+    if (error == boost::asio::error::operation_aborted) {
+      return;
+    }
+    if (!error) {
+      auto session = std::make_shared<ClientSession>(
+          this->environment, std::move(socket), [this](ClientSession& ended) {
+            this->sessions.erase(ended.shared_from_this());
+          });
+      this->sessions.insert(session);
+      session->Start();
+    }
+    this->Accept();
+  });
+}
+
+void Proxy::WaitForSignal() {
+  this->signals.async_wait([this](boost::system::error_code error, int signal) {
+    if (error) {
+      return;
+    }
+    if (signal == SIGHUP) {
+      this->Reload();
+    } else {
+      this->BeginStop();
+    }
+    this->WaitForSignal();
+  });
+}
+
+void Proxy::Reload() {
+  platform_adapter::SettingsResult result =
+      platform_adapter::ReadSettingsFile(this->settings_path);
+  if (!result.settings) {
+    for (const std::string& fault : result.faults) {
+      LogEvent(kSettingsInvalid, {{"reason", fault}});
+    }
+    return;
+  }
+  LogEvent(kSettingsReloaded,
+           {{"changed", !(*result.settings == this->context.settings)}});
+  this->context.settings = std::move(*result.settings);
+}
+
+bool Proxy::IsReady() const {
+  return !this->context.is_stopping && this->store.IsComplete();
+}
+
+transport::HttpAnswer Proxy::AnswerProbe(const std::string& target) {
+  if (target == platform_adapter::kReadinessTarget) {
+    return {this->IsReady() ? kStatusOk : kStatusUnavailable, ""};
+  }
+  if (target == "/metrics") {
+    return {kStatusOk, this->context.metrics.Text()};
+  }
+  return {kStatusNotFound, ""};
+}
+
+void Proxy::BeginStop() {
+  if (std::exchange(this->context.is_stopping, true)) {
+    return;
+  }
+  this->stop_started = this->context.clock.Now();
+  LogEvent(kProxyStopping, {{"sessions", this->sessions.size()}});
+  this->duty.Release([] {});
+}
+
+void Proxy::ContinueStop(Instant now) {
+  const auto elapsed = now - this->stop_started;
+  const milliseconds grace = this->context.settings.grace_period;
+  if (elapsed >= grace - kStopMargin) {
+    this->context.loop.stop();
+    return;
+  }
+  const std::vector<std::shared_ptr<ClientSession>> open(this->sessions.begin(),
+                                                         this->sessions.end());
+  if (elapsed >= grace / 2) {
+    for (const auto& session : open) {
+      if (session->IsIdleInTransaction()) {
+        session->AbortTransaction("the VM stops");
+      }
+    }
+  }
+  if (elapsed < kBalancerDelay) {
+    return;
+  }
+  if (open.empty()) {
+    this->context.loop.stop();
+    return;
+  }
+  const auto remaining = std::max<std::int64_t>(
+      1, (kBalancerDelay + kIdleSessionSpread - elapsed) / kBusyTick);
+  std::int64_t quota = static_cast<std::int64_t>(open.size()) / remaining + 1;
+  for (const auto& session : open) {
+    if (quota > 0 && session->IsIdle()) {
+      session->End();
+      --quota;
+    }
+  }
+}
+
+void Proxy::ScheduleTick() {
+  bool has_work = this->context.is_stopping;
+  for (const auto& [name, pool] : this->pools) {
+    has_work |= pool->HasWork();
+  }
+  this->tick_timer.expires_after(has_work ? kBusyTick : kIdleTick);
+  this->tick_timer.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      this->Tick();
+      this->ScheduleTick();
+    }
+  });
+}
+
+void Proxy::Tick() {
+  const Instant now = this->context.clock.Now();
+  for (const auto& [name, pool] : this->pools) {
+    pool->Tick(now);
+  }
+  this->duty.Tick(now);
+  this->EndIdleTransactions(now);
+  if (this->context.is_stopping) {
+    this->ContinueStop(now);
+  }
+  if (this->IsReady() && !std::exchange(this->was_ready, true)) {
+    LogEvent(kProxyReady, {{"vm", this->context.settings.vm},
+                           {"version", this->context.configuration->version},
+                           {"endpoints", this->context.endpoints.size()}});
+  }
+}
+
+void Proxy::EndIdleTransactions(Instant now) {
+  if (!this->context.configuration) {
+    return;
+  }
+  const auto bound = this->context.configuration->transaction_idle;
+  for (const auto& session : this->sessions) {
+    if (session->IsIdleInTransaction() && session->TransactionConnection() &&
+        now >= session->LastActivity() + bound) {
+      session->AbortTransaction("the transaction was idle");
+    }
+  }
+}
+
+void Proxy::OnDirectoryChanged() {
+  for (const auto& [name, pool] : this->pools) {
+    pool->OnDirectoryChanged();
+  }
+}
+
+bool Proxy::Admit(const std::string& account) {
+  const auto& accounts = this->context.configuration->accounts;
+  const auto found = accounts.find(account);
+  if (found == accounts.end()) {
+    return true;
+  }
+  const Instant now = this->context.clock.Now();
+  const limits::RateWindow window{this->context.settings.rate_window,
+                                  this->context.settings.rate_overrun,
+                                  this->context.settings.rate_tolerance};
+  const limits::ShareAmount share =
+      limits::EqualVmShare(found->second.operations_per_second,
+                           found->second.burst, window, this->context.vm_count);
+  const auto [entry, is_new] = this->buckets.try_emplace(account);
+  limits::TokenBucket& bucket = entry->second;
+  if (is_new || bucket.Dynamic().amount != share) {
+    bucket.Apply({share, now + kLimitLifetime}, {}, now);
+  }
+  return bucket.TryTake(now);
+}
+
+ServicePool& Proxy::FindPool(const std::string& service) {
+  std::unique_ptr<ServicePool>& pool = this->pools[service];
+  if (!pool) {
+    pool = std::make_unique<ServicePool>(this->context, service);
+  }
+  return *pool;
+}
+
+}  // namespace laburnumkeel::proxy
--- /dev/null
+++ b/programs/laburnumkeel-proxy/proxy.h
@@ -0,0 +1,64 @@
+#ifndef LABURNUMKEEL_PROGRAMS_PROXY_PROXY_H_
+#define LABURNUMKEEL_PROGRAMS_PROXY_PROXY_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "laburnumkeel/limits/token_bucket.h"
+#include "laburnumkeel/transport/http_responder.h"
+#include "programs/laburnumkeel-proxy/client_session.h"
+#include "programs/laburnumkeel-proxy/primary_duty.h"
+#include "programs/laburnumkeel-proxy/proxy_context.h"
+#include "programs/laburnumkeel-proxy/service_pool.h"
+#include "programs/laburnumkeel-proxy/store_link.h"
+
+namespace laburnumkeel::proxy {
+
+// The whole program: accepts clients, connects the parts and runs the loop.
+class Proxy {
+ public:
+  Proxy(platform_adapter::ProxySettings settings, std::string settings_path);
+
+  // Serves until SIGTERM or SIGINT. Returns the exit code.
+  int Run();
+
+ private:
+  bool Listen();
+  void Accept();
+  void WaitForSignal();
+  void Reload();
+  void BeginStop();
+  void ContinueStop(kernel::Instant now);
+  void ScheduleTick();
+  void Tick();
+  void OnDirectoryChanged();
+  bool Admit(const std::string& account);
+  ServicePool& FindPool(const std::string& service);
+  bool IsReady() const;
+  void EndIdleTransactions(kernel::Instant now);
+  transport::HttpAnswer AnswerProbe(const std::string& target);
+
+  ProxyContext context;
+  const std::string settings_path;
+  std::map<std::string, std::unique_ptr<ServicePool>> pools;
+  std::map<std::string, limits::TokenBucket> buckets;
+  StoreLink store;
+  PrimaryDuty duty;
+  SessionEnvironment environment;
+  std::set<std::shared_ptr<ClientSession>> sessions;
+  boost::asio::ip::tcp::acceptor acceptor;
+  transport::HttpResponder probe;
+  boost::asio::signal_set signals;
+  boost::asio::steady_timer tick_timer;
+  kernel::Instant stop_started;
+  bool was_ready = false;
+};
+
+}  // namespace laburnumkeel::proxy
+
+#endif  // LABURNUMKEEL_PROGRAMS_PROXY_PROXY_H_
--- /dev/null
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -0,0 +1,871 @@
+#include "programs/laburnumkeel-proxy/service_pool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "laburnumkeel/kernel/milliseconds.h"
+#include "laburnumkeel/routing/endpoint_choice.h"
+#include "platform/wire_codec.h"
+
+namespace laburnumkeel::proxy {
+
+using kernel::Instant;
+using statements::EndpointReply;
+using statements::ErrorCode;
+using statements::StatementKind;
+using statements::TransactionState;
+using std::chrono::milliseconds;
+
+namespace {
+
+// A connection that is not ready by then hangs: it takes two round trips
+// between regions and a wait in the endpoint's queue.
+constexpr milliseconds kConnectTimeout{1000};
+// A read without an answer by then tries another connection; the endpoint's
+// queue drains in a fraction of it.
+constexpr milliseconds kMinimumReadAttempt{500};
+constexpr double kReadAttemptPerAnswer = 4;
+// Attempts of one statement that reached an endpoint.
+constexpr int kMaximumAttempts = 6;
+// Pause before a refused statement is placed again: about one statement's time
+// on an endpoint.
+constexpr milliseconds kRetryPause{25};
+// An endpoint that failed is left alone for that long, doubled with each
+// further failure.
+constexpr milliseconds kSuspension{250};
+constexpr int kMaximumSuspensionDoublings = 3;
+// Weight of the newest answer in the smoothed delay.
+constexpr double kAnswerSmoothing = 0.2;
+// Delay assumed for an endpoint without answers.
+constexpr double kOwnDataCentreAnswerMs = 20;
+constexpr double kRemoteAnswerMs = 50;
+// A position sample older than this is renewed while the service is in use. The
+// strictest bound on staleness is well above a second.
+constexpr milliseconds kSampleAge{400};
+constexpr std::chrono::seconds kServiceInUse{5};
+// Reads ask for commits that are younger than their bound by this much.
+constexpr milliseconds kStalenessMargin{50};
+// An idle connection is closed after this time, so that other VMs and accounts
+// can use the endpoint's limited number.
+constexpr std::chrono::seconds kIdleConnection{4};
+// The VMs may hold more connections than an equal split, since not all of them
+// use theirs at once; the endpoint refuses above its limit.
+constexpr double kConnectionOvercommit = 1.3;
+constexpr milliseconds kConnectionsFullPause{60};
+// No new work goes to a data centre this long before the operators' bound.
+constexpr milliseconds kEvacuationMargin{1000};
+
+}  // namespace
+
+ServicePool::ServicePool(ProxyContext& context, std::string service)
+    : context(context), service(std::move(service)) {
+  this->OnDirectoryChanged();
+}
+
+ServicePool::~ServicePool() {
+  for (auto& [id, endpoint] : this->endpoints) {
+    for (const auto& connection : endpoint.connections) {
+      connection->Close();
+    }
+    for (const auto& [connection, started] : endpoint.opening) {
+      connection->Close();
+    }
+  }
+}
+
+void ServicePool::Submit(const JobPointer& job) {
+  this->last_used = job->arrived;
+  this->jobs.push_back(job);
+  this->Place(job);
+}
+
+void ServicePool::SubmitPinned(
+    const JobPointer& job,
+    const std::shared_ptr<EndpointConnection>& connection) {
+  job->is_pinned = true;
+  this->jobs.push_back(job);
+  job->connection = connection;
+  job->attempt_started = job->arrived;
+  job->attempt_deadline = job->deadline;
+  for (auto& [id, endpoint] : this->endpoints) {
+    const auto& owned = endpoint.connections;
+    if (std::find(owned.begin(), owned.end(), connection) != owned.end()) {
+      job->endpoint_id = id;
+      ++endpoint.outstanding;
+    }
+  }
+  if (job->endpoint_id.empty() || !connection->IsOpen() ||
+      connection->IsBusy()) {
+    job->connection = nullptr;
+    this->Refuse(job, ErrorCode::kAborted,
+                 "the transaction's connection ended");
+    return;
+  }
+  this->SendStatement(job, std::nullopt);
+}
+
+void ServicePool::RunInternal(
+    const std::string& endpoint_id, const std::string& text,
+    milliseconds timeout,
+    std::function<void(const std::optional<EndpointReply>&)> handler) {
+  auto job = std::make_shared<StatementJob>();
+  job->is_internal = true;
+  job->statement.text = text;
+  job->endpoint_id = endpoint_id;
+  job->arrived = this->context.clock.Now();
+  job->deadline = job->arrived + timeout;
+  job->attempt_deadline = job->deadline;
+  job->attempt_started = job->arrived;
+  job->done = [handler = std::move(handler)](const JobResult& result) {
+    handler(result.reply);
+  };
+  this->jobs.push_back(job);
+  Endpoint* endpoint = this->Find(endpoint_id);
+  if (endpoint == nullptr) {
+    this->Refuse(job, ErrorCode::kBusy, "the endpoint is not registered");
+    return;
+  }
+  ++endpoint->outstanding;
+  job->is_waiting_for_connection = true;
+  endpoint->waiting.push_front(job);
+  this->Pump(endpoint_id);
+}
+
+bool ServicePool::IsPrimary(const std::string& endpoint_id) const {
+  const routing::PrimaryRecord* record =
+      this->context.primaries.Find(this->service);
+  return record != nullptr && record->endpoint_id == endpoint_id;
+}
+
+bool ServicePool::IsAllowed(const StatementJob& job, const Endpoint& endpoint,
+                            Instant now) const {
+  if (!this->context.endpoints.contains(endpoint.info.id)) {
+    return false;
+  }
+  const auto region =
+      this->context.settings.regions.find(endpoint.info.data_centre);
+  const auto is_home = [&](const std::vector<std::string>& regions) {
+    return regions.empty() || (region != this->context.settings.regions.end() &&
+                               std::find(regions.begin(), regions.end(),
+                                         region->second) != regions.end());
+  };
+  if (!is_home(job.route.allowed_regions) || !is_home(job.account_regions)) {
+    return false;
+  }
+  const auto evacuated =
+      this->context.evacuated.find(endpoint.info.data_centre);
+  if (evacuated == this->context.evacuated.end()) {
+    return true;
+  }
+  // The primary keeps its work until the bound, to give time to replace it.
+  return this->IsPrimary(endpoint.info.id) && job.kind != JobKind::kRead &&
+         now < evacuated->second + this->context.settings.evacuation_bound -
+                   kEvacuationMargin;
+}
+
+ServicePool::Freshness ServicePool::FreshnessFor(const StatementJob& job,
+                                                 const std::string& endpoint_id,
+                                                 Instant now) const {
+  const bool is_single_write =
+      job.kind == JobKind::kWrite && !job.opens_transaction;
+  if (is_single_write) {
+    return {true, std::nullopt};
+  }
+  if (this->IsPrimary(endpoint_id) &&
+      this->context.primaries.IsProven(this->service, now)) {
+    return {true, std::nullopt};
+  }
+  if (job.route.consistency == model::ReadConsistency::kPrimary) {
+    return {};
+  }
+  std::optional<model::LogPosition> position = this->samples.LowestCovering(
+      now - job.route.max_staleness + kStalenessMargin);
+  if (!position) {
+    return {};
+  }
+  if (job.session_position && *job.session_position > *position) {
+    position = job.session_position;
+  }
+  return {true, position};
+}
+
+std::optional<std::string> ServicePool::Choose(const StatementJob& job,
+                                               Instant now) const {
+  if (job.kind != JobKind::kRead) {
+    const routing::PrimaryRecord* record =
+        this->context.primaries.Find(this->service);
+    if (record == nullptr) {
+      return std::nullopt;
+    }
+    const auto primary = this->endpoints.find(record->endpoint_id);
+    const bool is_usable =
+        primary != this->endpoints.end() &&
+        now >= primary->second.suspended_until &&
+        this->IsAllowed(job, primary->second, now) &&
+        this->FreshnessFor(job, record->endpoint_id, now).is_met;
+    return is_usable ? std::optional(record->endpoint_id) : std::nullopt;
+  }
+  std::vector<routing::ReadCandidate> candidates;
+  std::vector<std::string> ids;
+  for (const auto& [id, endpoint] : this->endpoints) {
+    const bool is_primary = this->IsPrimary(id);
+    if (job.excluded.contains(id) || !this->IsAllowed(job, endpoint, now) ||
+        (endpoint.info.is_draining && !is_primary) ||
+        !this->FreshnessFor(job, id, now).is_met) {
+      continue;
+    }
+    candidates.push_back(
+        {is_primary,
+         endpoint.info.data_centre == this->context.settings.data_centre,
+         now < endpoint.suspended_until, endpoint.answer_ms,
+         endpoint.outstanding, endpoint.info.slots});
+    ids.push_back(id);
+  }
+  const std::optional<std::size_t> chosen = routing::ChooseForRead(candidates);
+  return chosen ? std::optional(ids[*chosen]) : std::nullopt;
+}
+
+void ServicePool::Place(const JobPointer& job) {
+  if (job->is_finished) {
+    return;
+  }
+  const Instant now = this->context.clock.Now();
+  if (now >= job->deadline || job->attempts >= kMaximumAttempts) {
+    this->Refuse(job, ErrorCode::kBusy, "no endpoint took the statement");
+    return;
+  }
+  const std::optional<std::string> chosen = this->Choose(*job, now);
+  if (!chosen) {
+    // All endpoints refused once: they may have caught up by now.
+    job->excluded.clear();
+    job->retry_at = now + kRetryPause;
+    return;
+  }
+  Endpoint& endpoint = this->endpoints.at(*chosen);
+  job->endpoint_id = *chosen;
+  ++endpoint.outstanding;
+  job->attempt_started = now;
+  job->attempt_deadline = job->deadline;
+  if (job->kind != JobKind::kWrite) {
+    const auto patience = std::max(
+        kMinimumReadAttempt, milliseconds(static_cast<std::int64_t>(
+                                 endpoint.answer_ms * kReadAttemptPerAnswer)));
+    job->attempt_deadline = std::min(job->deadline, now + patience);
+  }
+  job->is_waiting_for_connection = true;
+  endpoint.waiting.push_back(job);
+  this->Pump(*chosen);
+}
+
+int ServicePool::ConnectionBudget() const {
+  const auto& services = this->context.configuration->services;
+  const auto found = services.find(this->service);
+  const int limit = found == services.end() ? 1 : found->second.max_connections;
+  const double share =
+      limit * kConnectionOvercommit / std::max(this->context.vm_count, 1);
+  return std::max(1, static_cast<int>(std::ceil(share)));
+}
+
+void ServicePool::Pump(const std::string& endpoint_id) {
+  Endpoint* endpoint = this->Find(endpoint_id);
+  if (endpoint == nullptr) {
+    return;
+  }
+  std::deque<JobPointer> queued;
+  queued.swap(endpoint->waiting);
+  for (const JobPointer& job : queued) {
+    if (job->is_finished || !job->is_waiting_for_connection) {
+      continue;
+    }
+    if (!this->ServeWaiting(*endpoint, job)) {
+      endpoint->waiting.push_back(job);
+    }
+  }
+}
+
+bool ServicePool::ServeWaiting(Endpoint& endpoint, const JobPointer& job) {
+  std::shared_ptr<EndpointConnection> best;
+  std::shared_ptr<EndpointConnection> oldest_idle;
+  int same_account_opening = 0;
+  for (const auto& connection : endpoint.connections) {
+    if (!connection->IsOpen() || connection->IsBusy() ||
+        connection->is_pinned) {
+      continue;
+    }
+    if (!oldest_idle || connection->last_used < oldest_idle->last_used) {
+      oldest_idle = connection;
+    }
+    if (!job->is_internal && connection->Account() != job->account) {
+      continue;
+    }
+    if (!best || connection->Values().IsSubsetOf(job->values)) {
+      best = connection;
+    }
+  }
+  if (best) {
+    this->Dispatch(job, best);
+    return true;
+  }
+  const std::string account =
+      job->is_internal
+          ? this->context.configuration->accounts.empty()
+                ? "-"
+                : this->context.configuration->accounts.begin()->first
+          : job->account;
+  for (const auto& [connection, started] : endpoint.opening) {
+    same_account_opening += connection->Account() == account ? 1 : 0;
+  }
+  int same_account_waiting = 1;
+  for (const JobPointer& other : endpoint.waiting) {
+    same_account_waiting += other->account == account ? 1 : 0;
+  }
+  if (same_account_opening >= same_account_waiting ||
+      this->context.clock.Now() < endpoint.connections_full_until) {
+    return false;
+  }
+  const auto held = endpoint.connections.size() + endpoint.opening.size();
+  if (static_cast<int>(held) >= this->ConnectionBudget()) {
+    if (!oldest_idle) {
+      return false;
+    }
+    this->Discard(oldest_idle);
+  }
+  this->OpenConnection(endpoint, account);
+  return false;
+}
+
+void ServicePool::OpenConnection(Endpoint& endpoint,
+                                 const std::string& account) {
+  auto connection = std::make_shared<EndpointConnection>(
+      this->context.loop, endpoint.info, account);
+  endpoint.opening[connection] = this->context.clock.Now();
+  this->context.metrics.Count("connections_opened");
+  connection->Open(
+      [this, id = endpoint.info.id, weak = std::weak_ptr(connection)](
+          EndpointConnection::OpenResult result) {
+        if (const auto opened = weak.lock()) {
+          this->OnOpened(id, opened, result);
+        }
+      });
+}
+
+void ServicePool::OnOpened(
+    const std::string& endpoint_id,
+    const std::shared_ptr<EndpointConnection>& connection,
+    EndpointConnection::OpenResult result) {
+  using OpenResult = EndpointConnection::OpenResult;
+  Endpoint* endpoint = this->Find(endpoint_id);
+  if (endpoint == nullptr || endpoint->opening.erase(connection) == 0) {
+    connection->Close();
+    return;
+  }
+  const Instant now = this->context.clock.Now();
+  if (result == OpenResult::kOpened) {
+    endpoint->failures = 0;
+    endpoint->suspended_until = Instant();
+    connection->last_used = now;
+    endpoint->connections.push_back(connection);
+    this->Pump(endpoint_id);
+    return;
+  }
+  if (result == OpenResult::kOverload) {
+    this->context.metrics.Count("connections_refused");
+    endpoint->connections_full_until = now + kConnectionsFullPause;
+    return;
+  }
+  this->Suspend(*endpoint, now);
+  const std::deque<JobPointer> waiting = endpoint->waiting;
+  for (const JobPointer& job : waiting) {
+    if (job->is_internal) {
+      this->Refuse(job, ErrorCode::kBusy, "the endpoint cannot be reached");
+      continue;
+    }
+    job->excluded.insert(endpoint_id);
+    this->Retry(job, now);
+  }
+}
+
+void ServicePool::Suspend(Endpoint& endpoint, Instant now) {
+  const int doublings =
+      std::min(endpoint.failures, kMaximumSuspensionDoublings);
+  ++endpoint.failures;
+  endpoint.suspended_until = now + kSuspension * (1 << doublings);
+}
+
+void ServicePool::Dispatch(
+    const JobPointer& job,
+    const std::shared_ptr<EndpointConnection>& connection) {
+  job->is_waiting_for_connection = false;
+  job->connection = connection;
+  if (job->opens_transaction) {
+    this->SendBegin(job);
+    return;
+  }
+  if (job->is_internal) {
+    this->SendStatement(job, std::nullopt);
+    return;
+  }
+  const Freshness freshness =
+      this->FreshnessFor(*job, job->endpoint_id, this->context.clock.Now());
+  if (!freshness.is_met) {
+    this->Retry(job, this->context.clock.Now() + kRetryPause);
+    return;
+  }
+  this->SendStatement(job, freshness.read_after);
+}
+
+void ServicePool::SendBegin(const JobPointer& job) {
+  const Instant now = this->context.clock.Now();
+  const Freshness freshness = this->FreshnessFor(*job, job->endpoint_id, now);
+  if (!freshness.is_met) {
+    this->Retry(job, now + kRetryPause);
+    return;
+  }
+  job->was_proven = this->IsPrimary(job->endpoint_id) &&
+                    this->context.primaries.IsProven(this->service, now);
+  job->attempt_started = now;
+  job->connection->Send(
+      platform_adapter::EncodeQuery(
+          platform_adapter::kInternalStatementId,
+          platform_adapter::BeginText(job->is_read_only_transaction),
+          freshness.read_after),
+      0, [this, job](std::optional<EndpointReply> reply) {
+        this->OnBegun(job, reply);
+      });
+}
+
+void ServicePool::OnBegun(const JobPointer& job,
+                          const std::optional<EndpointReply>& reply) {
+  if (job->is_finished) {
+    return;
+  }
+  if (!reply) {
+    this->OnLost(job);
+    return;
+  }
+  if (!reply->signature || reply->state != TransactionState::kOpen) {
+    this->OnRefused(job, *reply);
+    return;
+  }
+  job->connection->is_pinned = true;
+  this->SendStatement(job, std::nullopt);
+}
+
+void ServicePool::SendStatement(
+    const JobPointer& job,
+    const std::optional<model::LogPosition>& read_after) {
+  const Instant now = this->context.clock.Now();
+  platform_adapter::EncodedSetup encoded;
+  std::string text = job->statement.text;
+  if (!job->is_internal) {
+    const statements::ConnectionSetup setup =
+        job->connection->Values().PlanSetup(job->values, job->shape);
+    encoded = platform_adapter::EncodeSetup(setup);
+    if (job->shape) {
+      text = platform_adapter::RenameExecution(job->statement,
+                                               setup.prepared_name);
+    }
+  }
+  encoded.bytes += platform_adapter::EncodeQuery(
+      job->is_internal ? platform_adapter::kInternalStatementId
+                       : job->statement.id,
+      text, read_after);
+  job->is_sent = true;
+  ++job->attempts;
+  if (!job->opens_transaction) {
+    job->attempt_started = now;
+    job->was_proven = this->IsPrimary(job->endpoint_id) &&
+                      this->context.primaries.IsProven(this->service, now);
+  }
+  job->connection->Send(encoded.bytes, encoded.replies,
+                        [this, job](std::optional<EndpointReply> reply) {
+                          this->OnReply(job, reply);
+                        });
+}
+
+void ServicePool::RecordAnswer(const StatementJob& job,
+                               const EndpointReply& reply) {
+  Endpoint* endpoint = this->Find(job.endpoint_id);
+  if (endpoint == nullptr) {
+    return;
+  }
+  const Instant now = this->context.clock.Now();
+  const double answer_ms =
+      std::chrono::duration<double, std::milli>(now - job.attempt_started)
+          .count();
+  endpoint->answer_ms += kAnswerSmoothing * (answer_ms - endpoint->answer_ms);
+  if (reply.signature) {
+    endpoint->failures = 0;
+  }
+  if (reply.position && job.was_proven) {
+    this->samples.Add(*reply.position, job.attempt_started);
+  }
+}
+
+void ServicePool::OnReply(const JobPointer& job,
+                          const std::optional<EndpointReply>& reply) {
+  if (job->is_finished) {
+    return;
+  }
+  if (!reply) {
+    this->OnLost(job);
+    return;
+  }
+  this->RecordAnswer(*job, *reply);
+  if (!reply->signature && !job->is_internal) {
+    this->OnRefused(job, *reply);
+    return;
+  }
+  JobResult result;
+  result.reply = reply;
+  result.was_primary = this->IsPrimary(job->endpoint_id);
+  result.endpoint_id = job->endpoint_id;
+  if (reply->state == TransactionState::kOpen && !job->is_internal) {
+    result.connection = job->connection;
+    result.connection->is_pinned = true;
+  }
+  this->Finish(job, std::move(result));
+}
+
+void ServicePool::OnLost(const JobPointer& job) {
+  const Instant now = this->context.clock.Now();
+  if (Endpoint* endpoint = this->Find(job->endpoint_id)) {
+    if (job->is_internal) {
+      this->Suspend(*endpoint, now);
+    }
+  }
+  const bool may_have_committed =
+      job->is_sent && (job->statement.kind == StatementKind::kCommit ||
+                       (job->kind == JobKind::kWrite &&
+                        !job->opens_transaction && !job->is_pinned));
+  if (may_have_committed) {
+    this->Refuse(job, ErrorCode::kUnknown,
+                 "the answer of the endpoint is lost");
+    return;
+  }
+  if (job->is_pinned) {
+    this->Refuse(job, ErrorCode::kAborted,
+                 "the transaction's connection ended");
+    return;
+  }
+  if (job->is_internal) {
+    this->Refuse(job, ErrorCode::kBusy, "the endpoint ended the connection");
+    return;
+  }
+  job->is_sent = false;
+  job->excluded.insert(job->endpoint_id);
+  this->Retry(job, now);
+}
+
+void ServicePool::OnRefused(const JobPointer& job, const EndpointReply& reply) {
+  const Instant now = this->context.clock.Now();
+  this->context.metrics.Count("endpoint_refusals");
+  const bool is_read = job->kind != JobKind::kWrite;
+  const bool may_repeat = statements::IsNotRun(reply.error) ||
+                          (is_read && reply.error == ErrorCode::kFailed);
+  if (job->is_pinned) {
+    JobResult result;
+    result.reply = reply;
+    result.endpoint_id = job->endpoint_id;
+    if (reply.state == TransactionState::kOpen) {
+      result.connection = job->connection;
+    }
+    this->Finish(job, std::move(result));
+    return;
+  }
+  if (!may_repeat) {
+    JobResult result;
+    result.reply = reply;
+    result.endpoint_id = job->endpoint_id;
+    this->Finish(job, std::move(result));
+    return;
+  }
+  job->is_sent = false;
+  if (reply.error == ErrorCode::kNoPreparedStatement) {
+    this->Discard(job->connection);
+  }
+  if (job->kind == JobKind::kRead) {
+    job->excluded.insert(job->endpoint_id);
+    this->Retry(job, now);
+    return;
+  }
+  this->Retry(job, now + kRetryPause);
+}
+
+void ServicePool::Retry(const JobPointer& job, Instant retry_at) {
+  this->LeaveEndpoint(job, true);
+  job->retry_at = retry_at;
+  if (retry_at <= this->context.clock.Now()) {
+    this->Place(job);
+  }
+}
+
+void ServicePool::LeaveEndpoint(const JobPointer& job, bool keep_connection) {
+  Endpoint* endpoint = this->Find(job->endpoint_id);
+  if (endpoint != nullptr) {
+    --endpoint->outstanding;
+    auto& waiting = endpoint->waiting;
+    waiting.erase(std::remove(waiting.begin(), waiting.end(), job),
+                  waiting.end());
+  }
+  job->is_waiting_for_connection = false;
+  const std::shared_ptr<EndpointConnection> connection =
+      std::exchange(job->connection, nullptr);
+  const std::string endpoint_id = std::exchange(job->endpoint_id, {});
+  if (!connection) {
+    return;
+  }
+  if (!keep_connection || connection->IsBusy()) {
+    this->Discard(connection);
+  } else if (connection->is_pinned) {
+    this->RollBack(connection);
+  } else {
+    this->ReturnConnection(connection);
+  }
+}
+
+void ServicePool::Finish(const JobPointer& job, JobResult result) {
+  if (job->is_finished) {
+    return;
+  }
+  job->is_finished = true;
+  if (result.connection) {
+    // The session keeps the connection for its transaction.
+    if (Endpoint* endpoint = this->Find(job->endpoint_id)) {
+      --endpoint->outstanding;
+    }
+    job->connection = nullptr;
+  } else {
+    const bool has_ended = result.reply.has_value() &&
+                           result.reply->state == TransactionState::kIdle;
+    if (job->connection && has_ended) {
+      job->connection->is_pinned = false;
+    }
+    this->LeaveEndpoint(job, result.reply.has_value());
+  }
+  const auto done = std::exchange(job->done, nullptr);
+  if (done) {
+    done(std::move(result));
+  }
+}
+
+void ServicePool::Refuse(const JobPointer& job, ErrorCode error,
+                         const std::string& reason) {
+  JobResult result;
+  result.error = error;
+  result.reason = reason;
+  result.endpoint_id = job->endpoint_id;
+  this->Finish(job, std::move(result));
+}
+
+void ServicePool::Cancel(const JobPointer& job) {
+  job->done = nullptr;
+  this->Refuse(job, ErrorCode::kAborted, "the client left");
+}
+
+void ServicePool::ReturnConnection(
+    const std::shared_ptr<EndpointConnection>& connection) {
+  if (!connection->IsOpen()) {
+    this->Discard(connection);
+    return;
+  }
+  connection->last_used = this->context.clock.Now();
+  if (const Endpoint* owner = this->FindOwner(connection)) {
+    this->Pump(owner->info.id);
+  }
+}
+
+void ServicePool::RollBack(
+    const std::shared_ptr<EndpointConnection>& connection) {
+  if (!connection->IsOpen() || connection->IsBusy()) {
+    this->Discard(connection);
+    return;
+  }
+  connection->last_used = this->context.clock.Now();
+  connection->Send(platform_adapter::EncodeQuery(
+                       platform_adapter::kInternalStatementId,
+                       platform_adapter::RollbackText(), std::nullopt),
+                   0, [this, connection](std::optional<EndpointReply> reply) {
+                     if (!reply || reply->state != TransactionState::kIdle) {
+                       this->Discard(connection);
+                       return;
+                     }
+                     connection->is_pinned = false;
+                     this->ReturnConnection(connection);
+                   });
+}
+
+void ServicePool::Discard(
+    const std::shared_ptr<EndpointConnection>& connection) {
+  connection->Close();
+  if (Endpoint* owner = this->FindOwner(connection)) {
+    auto& owned = owner->connections;
+    owned.erase(std::remove(owned.begin(), owned.end(), connection),
+                owned.end());
+  }
+}
+
+void ServicePool::CheckTimeout(const JobPointer& job, Instant now) {
+  const bool is_at_endpoint = !job->endpoint_id.empty();
+  if (!is_at_endpoint) {
+    if (now >= job->deadline) {
+      this->Refuse(job, ErrorCode::kBusy, "no endpoint took the statement");
+    } else if (now >= job->retry_at) {
+      this->Place(job);
+    }
+    return;
+  }
+  if (now < job->attempt_deadline) {
+    return;
+  }
+  Endpoint* endpoint = this->Find(job->endpoint_id);
+  if (endpoint != nullptr && job->connection) {
+    this->Suspend(*endpoint, now);
+    // Connections that were idle all the while may be silent as well.
+    const auto connections = endpoint->connections;
+    for (const auto& connection : connections) {
+      if (!connection->IsBusy() && !connection->is_pinned &&
+          connection->last_used < job->attempt_started) {
+        this->Discard(connection);
+      }
+    }
+  }
+  const bool was_sent = job->is_sent;
+  if (job->connection) {
+    this->Discard(job->connection);
+  }
+  if (job->is_internal || now < job->deadline) {
+    this->OnLost(job);
+    return;
+  }
+  this->Refuse(job, was_sent ? ErrorCode::kTimeout : ErrorCode::kBusy,
+               "the endpoint did not answer in time");
+}
+
+void ServicePool::Tick(Instant now) {
+  const std::vector<JobPointer> current = this->jobs;
+  for (const JobPointer& job : current) {
+    if (!job->is_finished) {
+      this->CheckTimeout(job, now);
+    }
+  }
+  this->jobs.erase(
+      std::remove_if(this->jobs.begin(), this->jobs.end(),
+                     [](const JobPointer& job) { return job->is_finished; }),
+      this->jobs.end());
+  std::vector<std::string> stuck;
+  for (auto& [id, endpoint] : this->endpoints) {
+    for (const auto& [connection, started] : endpoint.opening) {
+      if (now >= started + kConnectTimeout) {
+        stuck.push_back(id);
+        connection->Close();
+      }
+    }
+    std::erase_if(endpoint.opening,
+                  [](const auto& entry) { return entry.first->IsClosed(); });
+    std::erase_if(endpoint.connections, [&](const auto& connection) {
+      const bool is_idle = !connection->IsBusy() && !connection->is_pinned &&
+                           now >= connection->last_used + kIdleConnection;
+      if (is_idle) {
+        connection->Close();
+      }
+      return connection->IsClosed() && !connection->is_pinned;
+    });
+  }
+  for (const std::string& id : stuck) {
+    if (Endpoint* endpoint = this->Find(id)) {
+      this->Suspend(*endpoint, now);
+    }
+  }
+  for (auto& [id, endpoint] : this->endpoints) {
+    if (!endpoint.waiting.empty()) {
+      this->Pump(id);
+    }
+  }
+  this->RefreshSamples(now);
+}
+
+void ServicePool::RefreshSamples(Instant now) {
+  const bool is_in_use = now < this->last_used + kServiceInUse;
+  if (this->is_sampling || !is_in_use ||
+      now < this->samples.NewestCover() + kSampleAge ||
+      !this->context.primaries.IsProven(this->service, now)) {
+    return;
+  }
+  this->is_sampling = true;
+  const routing::PrimaryRecord* record =
+      this->context.primaries.Find(this->service);
+  this->RunInternal(record->endpoint_id, platform_adapter::StatusText(),
+                    kConnectTimeout,
+                    [this](const std::optional<EndpointReply>&) {
+                      this->is_sampling = false;
+                    });
+}
+
+void ServicePool::OnDirectoryChanged() {
+  for (const auto& [id, info] : this->context.endpoints) {
+    if (info.service != this->service) {
+      continue;
+    }
+    const auto [entry, is_new] = this->endpoints.try_emplace(id);
+    Endpoint& endpoint = entry->second;
+    if (is_new) {
+      endpoint.answer_ms =
+          info.data_centre == this->context.settings.data_centre
+              ? kOwnDataCentreAnswerMs
+              : kRemoteAnswerMs;
+    }
+    endpoint.info = info;
+  }
+  std::vector<std::string> gone;
+  for (const auto& [id, endpoint] : this->endpoints) {
+    if (!this->context.endpoints.contains(id)) {
+      gone.push_back(id);
+    }
+  }
+  for (const std::string& id : gone) {
+    Endpoint& endpoint = this->endpoints.at(id);
+    const std::deque<JobPointer> waiting = endpoint.waiting;
+    for (const JobPointer& job : waiting) {
+      if (job->is_internal) {
+        this->Refuse(job, ErrorCode::kBusy, "the endpoint has left");
+      } else {
+        this->Retry(job, this->context.clock.Now());
+      }
+    }
+    const bool is_in_use =
+        std::any_of(endpoint.connections.begin(), endpoint.connections.end(),
+                    [](const auto& connection) {
+                      return connection->IsBusy() || connection->is_pinned;
+                    });
+    if (is_in_use) {
+      continue;
+    }
+    for (const auto& connection : endpoint.connections) {
+      connection->Close();
+    }
+    for (const auto& [connection, started] : endpoint.opening) {
+      connection->Close();
+    }
+    this->endpoints.erase(id);
+  }
+}
+
+ServicePool::Endpoint* ServicePool::Find(const std::string& endpoint_id) {
+  const auto found = this->endpoints.find(endpoint_id);
+  return found == this->endpoints.end() ? nullptr : &found->second;
+}
+
+ServicePool::Endpoint* ServicePool::FindOwner(
+    const std::shared_ptr<EndpointConnection>& connection) {
+  for (auto& [id, endpoint] : this->endpoints) {
+    const auto& owned = endpoint.connections;
+    if (std::find(owned.begin(), owned.end(), connection) != owned.end()) {
+      return &endpoint;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace laburnumkeel::proxy
--- /dev/null
+++ b/programs/laburnumkeel-proxy/statement_job.h
@@ -0,0 +1,88 @@
+#ifndef LABURNUMKEEL_PROGRAMS_PROXY_STATEMENT_JOB_H_
+#define LABURNUMKEEL_PROGRAMS_PROXY_STATEMENT_JOB_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "laburnumkeel/kernel/clock.h"
+#include "laburnumkeel/model/log_position.h"
+#include "laburnumkeel/model/proxy_configuration.h"
+#include "laburnumkeel/statements/session_values.h"
+#include "laburnumkeel/statements/statement.h"
+#include "programs/laburnumkeel-proxy/endpoint_connection.h"
+
+namespace laburnumkeel::proxy {
+
+// How a statement ended.
+struct JobResult {
+  // The endpoint's complete answer. Without it, `error` says what is known.
+  std::optional<statements::EndpointReply> reply;
+  statements::ErrorCode error = statements::ErrorCode::kBusy;
+  std::string reason;
+  // The connection on which a transaction is open after the statement.
+  std::shared_ptr<EndpointConnection> connection;
+  // The primary answered.
+  bool was_primary = false;
+  std::string endpoint_id;
+};
+
+// What a statement needs from an endpoint.
+enum class JobKind {
+  // May run on any endpoint whose log is recent enough.
+  kRead,
+  // Runs on the primary and must see every commit.
+  kStrictRead,
+  // Runs on the primary; the endpoint refuses if it does not lead.
+  kWrite,
+};
+
+// A client's statement on its way to an endpoint and back.
+struct StatementJob {
+  JobKind kind = JobKind::kRead;
+  // The client's statement, with the session state that it runs under.
+  statements::Statement statement;
+  std::map<std::string, std::string> values;
+  std::optional<statements::PreparedShape> shape;
+  std::string account;
+  std::vector<std::string> account_regions;
+  model::DatabaseRoute route;
+  // The session's last commit.
+  std::optional<model::LogPosition> session_position;
+  kernel::Instant arrived;
+  kernel::Instant deadline;
+  // A transaction is opened before the statement.
+  bool opens_transaction = false;
+  bool is_read_only_transaction = false;
+  // A statement of the proxy itself, which may use any connection to
+  // `endpoint_id`; `statement.text` is sent without a client's id.
+  bool is_internal = false;
+  std::function<void(JobResult result)> done;
+
+  // State of the attempts.
+  bool is_finished = false;
+  int attempts = 0;
+  std::set<std::string> excluded;
+  std::string endpoint_id;
+  std::shared_ptr<EndpointConnection> connection;
+  bool is_waiting_for_connection = false;
+  // The client's statement is on its way to the endpoint.
+  bool is_sent = false;
+  // The endpoint was proven to lead when the statement was sent.
+  bool was_proven = false;
+  // The statement continues a transaction on `connection`.
+  bool is_pinned = false;
+  kernel::Instant attempt_started;
+  kernel::Instant attempt_deadline;
+  kernel::Instant retry_at;
+};
+
+using JobPointer = std::shared_ptr<StatementJob>;
+
+}  // namespace laburnumkeel::proxy
+
+#endif  // LABURNUMKEEL_PROGRAMS_PROXY_STATEMENT_JOB_H_
--- /dev/null
+++ b/src/laburnumkeel/promotion/duty_lease.h
@@ -0,0 +1,76 @@
+#ifndef LABURNUMKEEL_PROMOTION_DUTY_LEASE_H_
+#define LABURNUMKEEL_PROMOTION_DUTY_LEASE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "laburnumkeel/kernel/clock.h"
+
+namespace laburnumkeel::promotion {
+
+// The published holder of the duty to change primaries.
+struct DutyRecord {
+  // Name of the VM; empty when the duty was handed back.
+  std::string holder;
+  // Where the holder answers questions of other VMs, `IP:port`.
+  std::string address;
+  // Grows with each holder and is never reused.
+  std::uint64_t token = 0;
+
+  bool operator==(const DutyRecord&) const = default;
+};
+
+// Decides who may change primaries. The record is written under the condition
+// that its version is the one last read, so only one VM can take it over. A
+// holder relies on its record for kLifetime from when it *sent* the last
+// renewal; a rival waits for longer from when it *saw* the record change.
+// Rates of the VMs' clocks may differ by a tenth.
+class DutyLease {
+ public:
+  // Covers store outages of several seconds; bounds, with kTakeOverDelay, how
+  // long no primary can be changed after the holder's VM is lost.
+  static constexpr std::chrono::seconds kLifetime{8};
+  static constexpr std::chrono::seconds kTakeOverDelay{9};
+  // Four renewals in a lifetime.
+  static constexpr std::chrono::seconds kRenewalPeriod{2};
+
+  explicit DutyLease(std::string vm) : vm(std::move(vm)) {}
+
+  // The record was read at that version.
+  void Observe(const DutyRecord& record, std::uint64_t version,
+               kernel::Instant now);
+
+  // No record exists.
+  void ObserveAbsent();
+
+  // A write of this VM, sent at `sent`, made `record` current.
+  void OnWritten(const DutyRecord& record, std::uint64_t version,
+                 kernel::Instant sent);
+
+  // True while no other VM can have taken over.
+  bool IsHeld(kernel::Instant now) const { return now < this->held_until; }
+
+  // The holder can rely on the duty until then; zero when it is not held.
+  kernel::Instant HeldUntil() const { return this->held_until; }
+
+  // True when this VM may write itself as the holder. A restarted process of
+  // the same VM need not wait: its predecessor is gone.
+  bool MayClaim(kernel::Instant now) const;
+
+  const std::optional<DutyRecord>& Record() const { return this->record; }
+  std::uint64_t Version() const { return this->version; }
+
+ private:
+  const std::string vm;
+  std::optional<DutyRecord> record;
+  std::uint64_t version = 0;
+  bool was_read = false;
+  kernel::Instant changed_at;
+  kernel::Instant held_until;
+};
+
+}  // namespace laburnumkeel::promotion
+
+#endif  // LABURNUMKEEL_PROMOTION_DUTY_LEASE_H_
--- /dev/null
+++ b/src/laburnumkeel/routing/endpoint_choice.cpp
@@ -0,0 +1,48 @@
+#include "laburnumkeel/routing/endpoint_choice.h"
+
+#include <algorithm>
+
+namespace laburnumkeel::routing {
+
+namespace {
+
+// Weight of the primary: a read there delays writes and strict reads, which
+// cannot go elsewhere.
+constexpr double kPrimaryWeight = 1.5;
+// Weight of another data centre: bytes between data centres have a price.
+constexpr double kRemoteWeight = 1.5;
+// A suspended endpoint is chosen only when all others are as well.
+constexpr double kSuspendedWeight = 1000;
+
+double Cost(const ReadCandidate& candidate) {
+  const double queue = 1.0 + static_cast<double>(candidate.outstanding) /
+                                 std::max(candidate.slots, 1);
+  double cost = std::max(candidate.answer_ms, 1.0) * queue;
+  if (candidate.is_primary) {
+    cost *= kPrimaryWeight;
+  }
+  if (!candidate.is_in_own_data_centre) {
+    cost *= kRemoteWeight;
+  }
+  if (candidate.is_suspended) {
+    cost *= kSuspendedWeight;
+  }
+  return cost;
+}
+
+}  // namespace
+
+std::optional<std::size_t> ChooseForRead(
+    const std::vector<ReadCandidate>& candidates) {
+  const auto cheapest = std::min_element(
+      candidates.begin(), candidates.end(),
+      [](const ReadCandidate& left, const ReadCandidate& right) {
+        return Cost(left) < Cost(right);
+      });
+  if (cheapest == candidates.end()) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(cheapest - candidates.begin());
+}
+
+}  // namespace laburnumkeel::routing
--- /dev/null
+++ b/src/laburnumkeel/routing/endpoint_choice.h
@@ -0,0 +1,38 @@
+#ifndef LABURNUMKEEL_ROUTING_ENDPOINT_CHOICE_H_
+#define LABURNUMKEEL_ROUTING_ENDPOINT_CHOICE_H_
+
+#include <compare>
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace laburnumkeel::routing {
+
+// What one VM knows about an endpoint that may serve a read.
+struct ReadCandidate {
+  bool is_primary = false;
+  bool is_in_own_data_centre = false;
+  // It recently refused, failed or did not answer.
+  bool is_suspended = false;
+  // Smoothed time from sending a statement to its answer, in milliseconds.
+  double answer_ms = 0;
+  // Statements of this VM that wait for it or run on it.
+  int outstanding = 0;
+  // Statements that it runs at the same time.
+  int slots = 1;
+
+  bool operator==(const ReadCandidate&) const = default;
+};
+
+// Index of the candidate for a read; empty without candidates.
+//
+// Load pattern: reads make up most of the load and every endpoint can serve
+// them, while writes can only use the primary. The primary therefore costs
+// more than a replica of the same delay, and another data centre costs more
+// than the own one, since its traffic is paid for.
+std::optional<std::size_t> ChooseForRead(
+    const std::vector<ReadCandidate>& candidates);
+
+}  // namespace laburnumkeel::routing
+
+#endif  // LABURNUMKEEL_ROUTING_ENDPOINT_CHOICE_H_
--- /dev/null
+++ b/src/laburnumkeel/routing/position_samples.cpp
@@ -0,0 +1,46 @@
+#include "laburnumkeel/routing/position_samples.h"
+
+#include <algorithm>
+
+namespace laburnumkeel::routing {
+
+void PositionSamples::Add(const model::LogPosition& position,
+                          kernel::Instant covers) {
+  if (covers <= this->NewestCover()) {
+    return;
+  }
+  Sample sample{position, covers};
+  if (!this->samples.empty()) {
+    // Answers can overtake each other; a later instant needs at least the
+    // position of an earlier one.
+    sample.position = std::max(sample.position, this->samples.back().position);
+  }
+  const bool replaces_newest =
+      this->samples.size() >= 2 &&
+      covers - this->samples[this->samples.size() - 2].covers < kSpacing;
+  if (replaces_newest) {
+    this->samples.pop_back();
+  }
+  this->samples.push_back(sample);
+  while (this->samples.front().covers < covers - kRetention) {
+    this->samples.pop_front();
+  }
+}
+
+std::optional<model::LogPosition> PositionSamples::LowestCovering(
+    kernel::Instant instant) const {
+  const auto found = std::find_if(
+      this->samples.begin(), this->samples.end(),
+      [&](const Sample& sample) { return sample.covers >= instant; });
+  if (found == this->samples.end()) {
+    return std::nullopt;
+  }
+  return found->position;
+}
+
+kernel::Instant PositionSamples::NewestCover() const {
+  return this->samples.empty() ? kernel::Instant()
+                               : this->samples.back().covers;
+}
+
+}  // namespace laburnumkeel::routing
--- /dev/null
+++ b/src/laburnumkeel/routing/position_samples.h
@@ -0,0 +1,47 @@
+#ifndef LABURNUMKEEL_ROUTING_POSITION_SAMPLES_H_
+#define LABURNUMKEEL_ROUTING_POSITION_SAMPLES_H_
+
+#include <chrono>
+#include <deque>
+#include <optional>
+
+#include "laburnumkeel/kernel/clock.h"
+#include "laburnumkeel/model/log_position.h"
+
+namespace laburnumkeel::routing {
+
+// Log positions heard from the primary of a service. A position in the answer
+// to a statement that was sent at an instant covers every commit acknowledged
+// before that instant.
+class PositionSamples {
+ public:
+  // Longer than the largest staleness that a route allows in practice; older
+  // samples are of no use to a read.
+  static constexpr std::chrono::seconds kRetention{5};
+  // Samples closer together than this replace each other.
+  static constexpr std::chrono::milliseconds kSpacing{50};
+
+  // `covers` is the instant at which the statement was sent.
+  void Add(const model::LogPosition& position, kernel::Instant covers);
+
+  // The lowest position that covers all commits acknowledged before `instant`;
+  // empty when no sample does. A low position is held by more replicas.
+  std::optional<model::LogPosition> LowestCovering(
+      kernel::Instant instant) const;
+
+  // Zero without samples.
+  kernel::Instant NewestCover() const;
+
+ private:
+  struct Sample {
+    model::LogPosition position;
+    kernel::Instant covers;
+  };
+
+  // Ascending in both fields.
+  std::deque<Sample> samples;
+};
+
+}  // namespace laburnumkeel::routing
+
+#endif  // LABURNUMKEEL_ROUTING_POSITION_SAMPLES_H_
--- /dev/null
+++ b/src/laburnumkeel/routing/primary_table.cpp
@@ -0,0 +1,45 @@
+#include "laburnumkeel/routing/primary_table.h"
+
+#include <algorithm>
+
+namespace laburnumkeel::routing {
+
+bool PrimaryTable::Adopt(const PrimaryRecord& record) {
+  PrimaryRecord& known = this->records[record.service];
+  if (record.version <= known.version) {
+    return false;
+  }
+  if (record.endpoint_id != known.endpoint_id) {
+    this->proven_until.erase(record.service);
+  }
+  known = record;
+  return true;
+}
+
+void PrimaryTable::Confirm(const std::string& service, std::uint64_t version,
+                           kernel::Instant as_of) {
+  const auto known = this->records.find(service);
+  if (known == this->records.end() || known->second.version != version ||
+      known->second.is_changing) {
+    return;
+  }
+  kernel::Instant& until = this->proven_until[service];
+  until = std::max(until, as_of + kProofLifetime);
+}
+
+const PrimaryRecord* PrimaryTable::Find(const std::string& service) const {
+  const auto known = this->records.find(service);
+  return known == this->records.end() ? nullptr : &known->second;
+}
+
+bool PrimaryTable::IsProven(const std::string& service,
+                            kernel::Instant now) const {
+  return now < this->ProvenUntil(service);
+}
+
+kernel::Instant PrimaryTable::ProvenUntil(const std::string& service) const {
+  const auto until = this->proven_until.find(service);
+  return until == this->proven_until.end() ? kernel::Instant() : until->second;
+}
+
+}  // namespace laburnumkeel::routing
--- /dev/null
+++ b/src/laburnumkeel/routing/primary_table.h
@@ -0,0 +1,67 @@
+#ifndef LABURNUMKEEL_ROUTING_PRIMARY_TABLE_H_
+#define LABURNUMKEEL_ROUTING_PRIMARY_TABLE_H_
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "laburnumkeel/kernel/clock.h"
+#include "laburnumkeel/model/log_position.h"
+
+namespace laburnumkeel::routing {
+
+// The published primary of a service.
+struct PrimaryRecord {
+  std::string service;
+  std::string endpoint_id;
+  model::Term term = 0;
+  // Another endpoint may lead from kProofLifetime after this was published.
+  bool is_changing = false;
+  // Increases with each publication.
+  std::uint64_t version = 0;
+
+  auto operator<=>(const PrimaryRecord&) const = default;
+};
+
+// What a VM knows about the primaries, and how long it can rely on it. A
+// promoter publishes that a change begins, waits for kProofLifetime, and only
+// then promotes: a VM that knows that no change had begun at an instant can
+// read from the primary for that time, whatever it is cut off from.
+class PrimaryTable {
+ public:
+  // Lifetime of a proof. A failover waits for it, so it stays well below the
+  // 14 s within which a change of primary has to be over; it spans several
+  // periods of renewal, so that lost messages do not interrupt reads.
+  static constexpr std::chrono::milliseconds kProofLifetime{1500};
+
+  // Takes over a newer record. False when it is not newer.
+  bool Adopt(const PrimaryRecord& record);
+
+  // At `as_of` the record of that version was the newest.
+  void Confirm(const std::string& service, std::uint64_t version,
+               kernel::Instant as_of);
+
+  // Null when nothing was published.
+  const PrimaryRecord* Find(const std::string& service) const;
+
+  // True when the endpoint of the record is the only one that can acknowledge
+  // commits at `now`.
+  bool IsProven(const std::string& service, kernel::Instant now) const;
+
+  // Instant until which the proof holds; zero without one.
+  kernel::Instant ProvenUntil(const std::string& service) const;
+
+  const std::map<std::string, PrimaryRecord>& Records() const {
+    return this->records;
+  }
+
+ private:
+  std::map<std::string, PrimaryRecord> records;
+  std::map<std::string, kernel::Instant> proven_until;
+};
+
+}  // namespace laburnumkeel::routing
+
+#endif  // LABURNUMKEEL_ROUTING_PRIMARY_TABLE_H_
--- /dev/null
+++ b/src/laburnumkeel/statements/session_values.cpp
@@ -0,0 +1,45 @@
+#include "laburnumkeel/statements/session_values.h"
+
+#include <algorithm>
+
+namespace laburnumkeel::statements {
+
+bool ConnectionValues::IsSubsetOf(
+    const std::map<std::string, std::string>& wanted) const {
+  return std::all_of(
+      this->values.begin(), this->values.end(),
+      [&](const auto& held) { return wanted.contains(held.first); });
+}
+
+ConnectionSetup ConnectionValues::PlanSetup(
+    const std::map<std::string, std::string>& wanted,
+    const std::optional<PreparedShape>& shape) {
+  ConnectionSetup setup;
+  if (!this->IsSubsetOf(wanted)) {
+    setup.discard = true;
+    this->values.clear();
+    this->prepared_names.clear();
+  }
+  for (const auto& [name, value] : wanted) {
+    const auto held = this->values.find(name);
+    if (held != this->values.end() && held->second == value) {
+      continue;
+    }
+    setup.values.emplace_back(name, value);
+    this->values[name] = value;
+  }
+  if (!shape) {
+    return setup;
+  }
+  std::string new_name = "p";
+  new_name += std::to_string(this->prepared_names.size());
+  const auto [entry, is_new] =
+      this->prepared_names.try_emplace(*shape, std::move(new_name));
+  setup.prepared_name = entry->second;
+  if (is_new) {
+    setup.prepare.emplace(entry->second, *shape);
+  }
+  return setup;
+}
+
+}  // namespace laburnumkeel::statements
--- /dev/null
+++ b/src/laburnumkeel/transport/http_channel.cpp
@@ -0,0 +1,148 @@
+#include "laburnumkeel/transport/http_channel.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <utility>
+
+#include "laburnumkeel/transport/socket_address.h"
+
+namespace laburnumkeel::transport {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+// The connection of a channel. It lives until its last operation has ended.
+class HttpChannel::Exchange
+    : public std::enable_shared_from_this<HttpChannel::Exchange> {
+ public:
+  // Answers of the store hold at most 1 MB of rows, a third more in base64.
+  static constexpr std::uint64_t kMaximumBodyBytes = std::uint64_t{4} << 20;
+
+  Exchange(asio::io_context& loop, std::string address)
+      : stream(loop), address(std::move(address)) {}
+
+  bool IsBusy() const { return static_cast<bool>(this->handler); }
+  bool IsUsable() const { return this->is_usable; }
+
+  void Send(const HttpCall& call, Handler new_handler) {
+    this->handler = std::move(new_handler);
+    this->request = {};
+    this->request.method_string(call.method);
+    this->request.target(call.target);
+    this->request.version(11);
+    this->request.set(http::field::host, this->address);
+    for (const auto& [name, value] : call.headers) {
+      this->request.set(name, value);
+    }
+    if (!call.body.empty() || call.method != "GET") {
+      this->request.set(http::field::content_type, "application/json");
+      this->request.body() = call.body;
+      this->request.prepare_payload();
+    }
+    this->stream.expires_after(call.timeout);
+    if (this->is_connected) {
+      this->Write();
+      return;
+    }
+    const auto endpoint = ParseSocketAddress(this->address);
+    if (!endpoint) {
+      this->Finish({});
+      return;
+    }
+    this->stream.async_connect(*endpoint, [self = this->shared_from_this()](
+                                              beast::error_code error) {
+      if (error) {
+        self->Finish({});
+        return;
+      }
+      self->is_connected = true;
+      beast::error_code ignored;
+      self->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+      self->Write();
+    });
+  }
+
+  void Abandon() {
+    this->handler = nullptr;
+    this->stream.close();
+  }
+
+ private:
+  void Write() {
+    http::async_write(this->stream, this->request,
+                      [self = this->shared_from_this()](beast::error_code error,
+                                                        std::size_t) {
+                        if (error) {
+                          self->Finish({});
+                          return;
+                        }
+                        self->Read();
+                      });
+  }
+
+  void Read() {
+    this->parser.emplace();
+    this->parser->body_limit(kMaximumBodyBytes);
+    http::async_read(
+        this->stream, this->buffer, *this->parser,
+        [self = this->shared_from_this()](beast::error_code error,
+                                          std::size_t) {
+          if (error) {
+            self->Finish({});
+            return;
+          }
+          self->is_usable = self->parser->keep_alive();
+          self->stream.expires_never();
+          self->Finish({static_cast<int>(self->parser->get().result_int()),
+                        std::move(self->parser->get().body())});
+        });
+  }
+
+  void Finish(const HttpAnswer& answer) {
+    if (answer.status == 0) {
+      this->is_usable = false;
+    }
+    if (!this->is_usable) {
+      this->stream.close();
+    }
+    const Handler finished = std::exchange(this->handler, nullptr);
+    if (finished) {
+      finished(answer);
+    }
+  }
+
+  beast::tcp_stream stream;
+  const std::string address;
+  http::request<http::string_body> request;
+  std::optional<http::response_parser<http::string_body>> parser;
+  beast::flat_buffer buffer;
+  Handler handler;
+  bool is_connected = false;
+  bool is_usable = true;
+};
+
+HttpChannel::HttpChannel(asio::io_context& loop, std::string address)
+    : loop(loop), address(std::move(address)) {}
+
+HttpChannel::~HttpChannel() {
+  if (this->exchange) {
+    this->exchange->Abandon();
+  }
+}
+
+bool HttpChannel::IsBusy() const {
+  return this->exchange && this->exchange->IsBusy();
+}
+
+void HttpChannel::Send(const HttpCall& call, Handler handler) {
+  if (!this->exchange || !this->exchange->IsUsable()) {
+    this->exchange = std::make_shared<Exchange>(this->loop, this->address);
+  }
+  this->exchange->Send(call, std::move(handler));
+}
+
+}  // namespace laburnumkeel::transport
--- /dev/null
+++ b/src/laburnumkeel/transport/line_stream.h
@@ -0,0 +1,65 @@
+#ifndef LABURNUMKEEL_TRANSPORT_LINE_STREAM_H_
+#define LABURNUMKEEL_TRANSPORT_LINE_STREAM_H_
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace laburnumkeel::transport {
+
+// A TCP connection that exchanges lines ended by CR LF, on an event loop. All
+// calls and handlers run on the thread of the loop.
+class LineStream : public std::enable_shared_from_this<LineStream> {
+ public:
+  // Longer lines close the connection; the protocol allows 1 MiB a message.
+  static constexpr std::size_t kMaximumLineBytes = std::size_t{1} << 20;
+
+  // Receives a line without its end; valid during the call only.
+  using LineHandler = std::function<void(std::string_view line)>;
+  // Runs once when the far end closes, on an error, or on a line too long; not
+  // after `Close`.
+  using CloseHandler = std::function<void()>;
+
+  explicit LineStream(boost::asio::ip::tcp::socket socket);
+
+  void Start(LineHandler new_line_handler, CloseHandler new_close_handler);
+
+  // Sends the bytes, which end in CR LF, after those of earlier calls.
+  void Write(std::string_view bytes);
+
+  // Ends the connection at once and drops both handlers.
+  void Close();
+
+  // Ends the connection when all bytes are sent; lines are ignored from now.
+  void CloseAfterWrite();
+
+  bool IsClosed() const { return this->is_closed; }
+
+ private:
+  // Fits the usual message; longer ones take several reads.
+  static constexpr std::size_t kReadBytes = 2048;
+
+  void Read();
+  void Consume(std::size_t size);
+  void DispatchLines();
+  void ContinueWrite();
+  void Fail();
+
+  boost::asio::ip::tcp::socket socket;
+  LineHandler line_handler;
+  CloseHandler close_handler;
+  std::array<char, kReadBytes> read_buffer;
+  std::string pending_input;
+  std::string pending_output;
+  bool is_writing = false;
+  bool is_closed = false;
+  bool is_closing = false;
+};
+
+}  // namespace laburnumkeel::transport
+
+#endif  // LABURNUMKEEL_TRANSPORT_LINE_STREAM_H_
