Keep each VM within its share of an endpoint's connections

Ruled out: fewer connections for each VM (transactions pin them while clients pause). A refused connection now counts as a sign of life, and what is above the share is closed after use.

--- a/programs/laburnumkeel-proxy/client_session.cpp
+++ b/programs/laburnumkeel-proxy/client_session.cpp
@@ -4,6 +4,8 @@
 #include <utility>
 #include <variant>
 
+#include "programs/laburnumkeel-proxy/events.h"
+
 namespace laburnumkeel::proxy {
 
 using platform_adapter::ClientStartup;
@@ -139,6 +141,11 @@
   this->key = startup.key;
   const auto refuse = [this](ErrorCode code, std::string_view text) {
     this->environment.context.metrics.Count("sessions_refused");
+    this->environment.context.request_log.Write(
+        kSessionRefused, this->environment.context.clock.Now(),
+        {{"database", this->database},
+         {"code", static_cast<int>(code)},
+         {"reason", text}});
     this->stream->Write(platform_adapter::EncodeError(code, text));
     this->End();
   };
@@ -169,12 +176,25 @@
 }
 
 void ClientSession::ReplyError(ErrorCode code, std::string_view text) {
-  this->environment.context.metrics.Count("statements_refused");
+  ProxyContext& context = this->environment.context;
+  context.metrics.Count("statements_refused");
+  context.request_log.Write(
+      kStatementRefused, context.clock.Now(),
+      {{"request", this->statement_id},
+       {"database", this->database},
+       {"service", this->route.service},
+       {"account", this->account},
+       {"code", static_cast<int>(code)},
+       {"reason", text},
+       {"configuration",
+        context.configuration ? context.configuration->version : 0},
+       {"in_transaction", this->state != TransactionState::kIdle}});
   this->stream->Write(platform_adapter::EncodeError(code, text) +
                       platform_adapter::EncodeReady(this->state, std::nullopt));
 }
 
 void ClientSession::OnStatement(const Statement& statement) {
+  this->statement_id = statement.id;
   const bool ends = statement.kind == StatementKind::kCommit ||
                     statement.kind == StatementKind::kRollback;
   if (this->state == TransactionState::kFailed) {
--- a/programs/laburnumkeel-proxy/client_session.h
+++ b/programs/laburnumkeel-proxy/client_session.h
@@ -93,6 +93,8 @@
   std::string account;
   std::optional<model::LogPosition> last_commit;
   JobPointer job;
+  // Of the statement being answered, for the log.
+  std::string statement_id;
   std::deque<std::string> queued_lines;
   kernel::Instant last_activity;
 };
--- a/programs/laburnumkeel-proxy/endpoint_connection.cpp
+++ b/programs/laburnumkeel-proxy/endpoint_connection.cpp
@@ -103,15 +103,12 @@
     return;
   }
   if (!this->is_open) {
-    // A refusal is an error line without a ready line, and then a close.
+    // A refusal is an error line without a ready line, and then a close. An
+    // endpoint without free connections also resets without a word.
     const EndpointReply reply = this->decoder.Take();
-    OpenResult result = OpenResult::kUnreachable;
-    if (reply.error == statements::ErrorCode::kOverload) {
-      result = OpenResult::kOverload;
-    } else if (reply.error == statements::ErrorCode::kMisrouted) {
-      result = OpenResult::kMisrouted;
-    }
-    this->FinishOpen(result);
+    this->FinishOpen(reply.error == statements::ErrorCode::kMisrouted
+                         ? OpenResult::kMisrouted
+                         : OpenResult::kOverload);
     return;
   }
   const ReplyHandler handler = std::exchange(this->reply_handler, nullptr);
--- a/programs/laburnumkeel-proxy/primary_duty.cpp
+++ b/programs/laburnumkeel-proxy/primary_duty.cpp
@@ -132,6 +132,7 @@
   }
   const routing::PrimaryRecord* record = this->context.primaries.Find(service);
   if (record == nullptr) {
+    watch.last_answer = now;
     this->PublishFirst(service, watch);
     return;
   }
@@ -139,6 +140,9 @@
     this->AdvanceChange(service, watch, now);
     return;
   }
+  watch.last_answer =
+      std::max(watch.last_answer,
+               this->find_pool(service).LastHeard(record->endpoint_id));
   this->Ask(service, watch, now);
   this->ConsiderChange(service, watch, now);
 }
--- a/programs/laburnumkeel-proxy/proxy.cpp
+++ b/programs/laburnumkeel-proxy/proxy.cpp
@@ -149,7 +149,13 @@
 }
 
 bool Proxy::IsReady() const {
-  return !this->context.is_stopping && this->store.IsComplete();
+  if (this->context.is_stopping || !this->store.IsComplete()) {
+    return false;
+  }
+  const auto& routes = this->context.configuration->routes;
+  return std::any_of(routes.begin(), routes.end(), [&](const auto& route) {
+    return this->context.primaries.Find(route.second.service) != nullptr;
+  });
 }
 
 transport::HttpAnswer Proxy::AnswerProbe(const std::string& target) {
--- a/programs/laburnumkeel-proxy/proxy_context.h
+++ b/programs/laburnumkeel-proxy/proxy_context.h
@@ -13,6 +13,7 @@
 #include "laburnumkeel/model/proxy_configuration.h"
 #include "laburnumkeel/routing/primary_table.h"
 #include "platform/settings.h"
+#include "programs/laburnumkeel-proxy/request_log.h"
 
 namespace laburnumkeel::proxy {
 
@@ -25,6 +26,7 @@
   boost::asio::io_context loop{1};
   kernel::BootClock clock;
   kernel::Metrics metrics;
+  RequestLog request_log;
   platform_adapter::ProxySettings settings;
   // Null until one was read.
   std::shared_ptr<const model::ProxyConfiguration> configuration;
--- /dev/null
+++ b/programs/laburnumkeel-proxy/request_log.h
@@ -0,0 +1,29 @@
+#ifndef LABURNUMKEEL_PROGRAMS_PROXY_REQUEST_LOG_H_
+#define LABURNUMKEEL_PROGRAMS_PROXY_REQUEST_LOG_H_
+
+#include <initializer_list>
+
+#include "laburnumkeel/kernel/clock.h"
+#include "laburnumkeel/kernel/event_log.h"
+
+namespace laburnumkeel::proxy {
+
+// Log lines about single requests, bounded so that a flood of refusals does
+// not take the processor from the requests.
+class RequestLog {
+ public:
+  // A line costs about 20 us, so this budget is below a thousandth of a core.
+  static constexpr int kLinesPerSecond = 40;
+
+  void Write(const kernel::EventDefinition& definition, kernel::Instant now,
+             std::initializer_list<kernel::EventField> fields);
+
+ private:
+  kernel::Instant second_started;
+  int written = 0;
+  int omitted = 0;
+};
+
+}  // namespace laburnumkeel::proxy
+
+#endif  // LABURNUMKEEL_PROGRAMS_PROXY_REQUEST_LOG_H_
--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -49,9 +49,9 @@
 // An idle connection is closed after this time, so that other VMs and accounts
 // can use the endpoint's limited number.
 constexpr std::chrono::seconds kIdleConnection{4};
-// The VMs may hold more connections than an equal split, since not all of them
-// use theirs at once; the endpoint refuses above its limit.
-constexpr double kConnectionOvercommit = 1.3;
+// A VM under load may use more connections than its equal share, since not all
+// VMs use theirs at once; what is above the share is closed after use.
+constexpr double kConnectionOvercommit = 1.6;
 constexpr milliseconds kConnectionsFullPause{60};
 // No new work goes to a data centre this long before the operators' bound.
 constexpr milliseconds kEvacuationMargin{1000};
@@ -98,6 +98,7 @@
   if (job->endpoint_id.empty() || !connection->IsOpen() ||
       connection->IsBusy()) {
     job->connection = nullptr;
+    this->Discard(connection);
     this->Refuse(job, ErrorCode::kAborted,
                  "the transaction's connection ended");
     return;
@@ -258,13 +259,16 @@
   this->Pump(*chosen);
 }
 
-int ServicePool::ConnectionBudget() const {
+Instant ServicePool::LastHeard(const std::string& endpoint_id) const {
+  const auto found = this->endpoints.find(endpoint_id);
+  return found == this->endpoints.end() ? Instant() : found->second.last_heard;
+}
+
+double ServicePool::ConnectionShare() const {
   const auto& services = this->context.configuration->services;
   const auto found = services.find(this->service);
   const int limit = found == services.end() ? 1 : found->second.max_connections;
-  const double share =
-      limit * kConnectionOvercommit / std::max(this->context.vm_count, 1);
-  return std::max(1, static_cast<int>(std::ceil(share)));
+  return static_cast<double>(limit) / std::max(this->context.vm_count, 1);
 }
 
 void ServicePool::Pump(const std::string& endpoint_id) {
@@ -325,7 +329,9 @@
     return false;
   }
   const auto held = endpoint.connections.size() + endpoint.opening.size();
-  if (static_cast<int>(held) >= this->ConnectionBudget()) {
+  const double budget =
+      std::max(1.0, this->ConnectionShare() * kConnectionOvercommit);
+  if (static_cast<double>(held) >= budget) {
     if (!oldest_idle) {
       return false;
     }
@@ -361,6 +367,9 @@
     return;
   }
   const Instant now = this->context.clock.Now();
+  if (result != OpenResult::kUnreachable) {
+    endpoint->last_heard = now;
+  }
   if (result == OpenResult::kOpened) {
     endpoint->failures = 0;
     endpoint->suspended_until = Instant();
@@ -494,6 +503,7 @@
   const double answer_ms =
       std::chrono::duration<double, std::milli>(now - job.attempt_started)
           .count();
+  endpoint->last_heard = now;
   endpoint->answer_ms += kAnswerSmoothing * (answer_ms - endpoint->answer_ms);
   if (reply.signature) {
     endpoint->failures = 0;
@@ -671,8 +681,16 @@
     return;
   }
   connection->last_used = this->context.clock.Now();
-  if (const Endpoint* owner = this->FindOwner(connection)) {
-    this->Pump(owner->info.id);
+  const Endpoint* owner = this->FindOwner(connection);
+  if (owner == nullptr) {
+    connection->Close();
+    return;
+  }
+  this->Pump(owner->info.id);
+  const double kept = std::max(1.0, std::floor(this->ConnectionShare()));
+  if (!connection->IsBusy() && !connection->is_pinned &&
+      static_cast<double>(owner->connections.size()) > kept) {
+    this->Discard(connection);
   }
 }
 
--- a/programs/laburnumkeel-proxy/service_pool.h
+++ b/programs/laburnumkeel-proxy/service_pool.h
@@ -54,6 +54,9 @@
   // Drops a statement whose client is gone.
   void Cancel(const JobPointer& job);
 
+  // When the endpoint last answered anything, a refusal included.
+  kernel::Instant LastHeard(const std::string& endpoint_id) const;
+
   bool HasWork() const { return !this->jobs.empty(); }
 
  private:
@@ -65,6 +68,7 @@
     double answer_ms = 0;
     int outstanding = 0;
     int failures = 0;
+    kernel::Instant last_heard;
     kernel::Instant suspended_until;
     kernel::Instant connections_full_until;
   };
@@ -90,7 +94,8 @@
   void OnOpened(const std::string& endpoint_id,
                 const std::shared_ptr<EndpointConnection>& connection,
                 EndpointConnection::OpenResult result);
-  int ConnectionBudget() const;
+  // This VM's part of the connections that an endpoint takes.
+  double ConnectionShare() const;
 
   void Dispatch(const JobPointer& job,
                 const std::shared_ptr<EndpointConnection>& connection);
