--- /dev/null
+++ b/programs/laburnumkeel-proxy/account_gate.h
@@ -0,0 +1,72 @@
+#ifndef LABURNUMKEEL_PROGRAMS_PROXY_ACCOUNT_GATE_H_
+#define LABURNUMKEEL_PROGRAMS_PROXY_ACCOUNT_GATE_H_
+
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "laburnumkeel/limits/account_allowance.h"
+#include "programs/laburnumkeel-proxy/proxy_context.h"
+
+namespace laburnumkeel::proxy {
+
+// Passes operations of client accounts within their limits. An operation
+// without a token waits for the coordinator's answer if one can come soon, and
+// is refused at once otherwise.
+//
+// Load pattern: the first clients of an account on a VM, which has no share
+// yet; an account far above its rate, whose excess must not wait.
+class AccountGate {
+ public:
+  using Handler = std::function<void(bool is_admitted)>;
+
+  // `request_grant` asks the coordinator without waiting for the next report.
+  AccountGate(ProxyContext& context, std::function<void()> request_grant);
+
+  // Calls `handler` at once, or when the coordinator has answered.
+  void Admit(const std::string& account, Handler handler);
+
+  std::map<std::string, limits::AccountReport> Report(
+      kernel::Instant now) const;
+
+  void OnGrant(const std::string& account, const limits::AccountGrant& grant,
+               kernel::Instant sent);
+
+  // The coordinator answered a report sent at `sent`.
+  void OnAnswer(kernel::Instant sent);
+
+  // Refuses operations that waited too long.
+  void Tick(kernel::Instant now);
+
+ private:
+  // The coordinator is at most a round trip between regions away.
+  static constexpr std::chrono::milliseconds kMaximumWait{150};
+  // After a grant that was smaller than what was wanted, the account's excess
+  // is refused for this long without asking again.
+  static constexpr std::chrono::milliseconds kExhaustedPause{100};
+  // Without an answer for this long the coordinator counts as away.
+  static constexpr std::chrono::milliseconds kCoordinatorAway{1200};
+
+  struct Waiting {
+    kernel::Instant since;
+    Handler handler;
+  };
+  struct Account {
+    limits::AccountAllowance allowance;
+    std::deque<Waiting> waiting;
+    kernel::Instant exhausted_until;
+  };
+
+  void Serve(Account& account, kernel::Instant now);
+
+  ProxyContext& context;
+  const std::function<void()> request_grant;
+  std::map<std::string, Account> accounts;
+  kernel::Instant answered_at;
+};
+
+}  // namespace laburnumkeel::proxy
+
+#endif  // LABURNUMKEEL_PROGRAMS_PROXY_ACCOUNT_GATE_H_
--- a/programs/laburnumkeel-proxy/client_session.cpp
+++ b/programs/laburnumkeel-proxy/client_session.cpp
@@ -53,7 +53,8 @@
 }
 
 bool ClientSession::IsIdle() const {
-  return !this->job && this->state == TransactionState::kIdle;
+  return !this->job && !this->is_admitting &&
+         this->state == TransactionState::kIdle;
 }
 
 bool ClientSession::IsIdleInTransaction() const {
@@ -96,7 +97,7 @@
 
 void ClientSession::OnLine(std::string_view line) {
   this->last_activity = this->environment.context.clock.Now();
-  if (this->job) {
+  if (this->job || this->is_admitting) {
     if (this->queued_lines.size() >= kMaximumQueuedLines) {
       this->End();
       return;
@@ -125,7 +126,7 @@
 }
 
 void ClientSession::ProcessNext() {
-  while (!this->job && !this->queued_lines.empty() && !this->has_ended) {
+  while (!this->job && !this->is_admitting && !this->queued_lines.empty() && !this->has_ended) {
     const std::string line = std::move(this->queued_lines.front());
     this->queued_lines.pop_front();
     this->OnLine(line);
@@ -269,13 +270,25 @@
   return true;
 }
 
-bool ClientSession::AdmitOperation() {
-  if (this->environment.admit(this->account)) {
-    return true;
-  }
-  this->environment.context.metrics.Count("operations_over_limit");
-  this->ReplyError(ErrorCode::kOverload, "the account is over its rate");
-  return false;
+void ClientSession::AdmitOperation(std::function<void()> next) {
+  this->is_admitting = true;
+  const std::weak_ptr<ClientSession> weak = this->shared_from_this();
+  this->environment.gate.Admit(
+      this->account, [weak, next = std::move(next)](bool is_admitted) {
+        const auto session = weak.lock();
+        if (!session || session->has_ended) {
+          return;
+        }
+        session->is_admitting = false;
+        if (is_admitted) {
+          next();
+        } else {
+          session->environment.context.metrics.Count("operations_over_limit");
+          session->ReplyError(ErrorCode::kOverload,
+                              "the account is over its rate");
+        }
+        session->ProcessNext();
+      });
 }
 
 void ClientSession::OnBegin(const Statement& statement) {
@@ -283,14 +296,16 @@
     this->ReplyError(ErrorCode::kMalformed, "a transaction is open");
     return;
   }
-  if (!this->ResolveOperation() || !this->AdmitOperation()) {
+  if (!this->ResolveOperation()) {
     return;
   }
-  this->state = TransactionState::kOpen;
-  this->transaction_wrote = false;
-  this->is_read_only_transaction =
-      statement.kind == StatementKind::kBeginReadOnly;
-  this->ReplyCompletion("-");
+  const bool is_read_only = statement.kind == StatementKind::kBeginReadOnly;
+  this->AdmitOperation([this, is_read_only] {
+    this->state = TransactionState::kOpen;
+    this->transaction_wrote = false;
+    this->is_read_only_transaction = is_read_only;
+    this->ReplyCompletion("-");
+  });
 }
 
 void ClientSession::OnEndInFailedState(const Statement& statement) {
@@ -323,11 +338,20 @@
     }
     shape = prepared->second;
   }
-  const bool in_transaction = this->state == TransactionState::kOpen;
-  if (!in_transaction &&
-      (!this->ResolveOperation() || !this->AdmitOperation())) {
+  if (this->state == TransactionState::kOpen) {
+    this->Submit(statement, shape);
     return;
   }
+  if (this->ResolveOperation()) {
+    this->AdmitOperation(
+        [this, statement, shape] { this->Submit(statement, shape); });
+  }
+}
+
+void ClientSession::Submit(
+    const Statement& statement,
+    const std::optional<statements::PreparedShape>& shape) {
+  const bool in_transaction = this->state == TransactionState::kOpen;
   const bool is_write = IsWrite(statement, shape);
   auto next = std::make_shared<StatementJob>();
   next->statement = statement;
--- a/programs/laburnumkeel-proxy/client_session.h
+++ b/programs/laburnumkeel-proxy/client_session.h
@@ -13,6 +13,7 @@
 #include "laburnumkeel/statements/statement.h"
 #include "laburnumkeel/transport/line_stream.h"
 #include "platform/wire_codec.h"
+#include "programs/laburnumkeel-proxy/account_gate.h"
 #include "programs/laburnumkeel-proxy/proxy_context.h"
 #include "programs/laburnumkeel-proxy/service_pool.h"
 #include "programs/laburnumkeel-proxy/statement_job.h"
@@ -23,8 +24,7 @@
 struct SessionEnvironment {
   ProxyContext& context;
   std::function<ServicePool&(const std::string& service)> find_pool;
-  // Charges one operation to an account; false when it is over its limit.
-  std::function<bool(const std::string& account)> admit;
+  AccountGate& gate;
 };
 
 // One client connection: its values, prepared statements and transaction.
@@ -63,13 +63,17 @@
   void OnEndInFailedState(const statements::Statement& statement);
   void OnRollback();
   void Forward(const statements::Statement& statement);
+  void Submit(const statements::Statement& statement,
+              const std::optional<statements::PreparedShape>& shape);
   void OnResult(const StatementJob& job, JobResult result);
   void ProcessNext();
 
   // The route and account of the next operation under the present
   // configuration; answers the client when there is none.
   bool ResolveOperation();
-  bool AdmitOperation();
+  // Runs `next` when the operation is within its account's limit, and answers
+  // the client otherwise.
+  void AdmitOperation(std::function<void()> next);
 
   void ReplyCompletion(const std::string& signature);
   void ReplyError(statements::ErrorCode code, std::string_view text);
@@ -93,6 +97,8 @@
   std::string account;
   std::optional<model::LogPosition> last_commit;
   JobPointer job;
+  // An operation waits for its account's limit.
+  bool is_admitting = false;
   // Of the statement being answered, for the log.
   std::string statement_id;
   std::deque<std::string> queued_lines;
--- a/programs/laburnumkeel-proxy/events.h
+++ b/programs/laburnumkeel-proxy/events.h
@@ -68,6 +68,9 @@
 inline constexpr EventDefinition kLinesOmitted{
     2132, Severity::kWarning, "lines_omitted",
     "lines about single requests were left out, above the budget a second"};
+inline constexpr EventDefinition kDatagramIgnored{
+    2133, Severity::kWarning, "datagram_ignored",
+    "a datagram at the peer address is not a message of this program"};
 
 // All events of this program, for the catalogue.
 inline constexpr std::array kEvents{kProxyReady,      kProxyStopping,
--- /dev/null
+++ b/programs/laburnumkeel-proxy/fleet_exchange.cpp
@@ -0,0 +1,281 @@
+#include "programs/laburnumkeel-proxy/fleet_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "laburnumkeel/kernel/event_log.h"
+#include "laburnumkeel/kernel/random_identifier.h"
+#include "laburnumkeel/limits/vm_share.h"
+#include "laburnumkeel/transport/socket_address.h"
+#include "programs/laburnumkeel-proxy/events.h"
+
+namespace laburnumkeel::proxy {
+
+using boost::asio::ip::udp;
+using kernel::Instant;
+using kernel::LogEvent;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Answers that are later than this are of no use.
+constexpr std::size_t kMaximumInFlight = 32;
+
+microseconds Age(Instant now, Instant then) {
+  return std::chrono::duration_cast<microseconds>(now - then);
+}
+
+}  // namespace
+
+FleetExchange::FleetExchange(
+    ProxyContext& context, StoreLink& store, PrimaryDuty& duty,
+    AccountGate& gate,
+    std::function<ServicePool&(const std::string&)> find_pool)
+    : context(context),
+      store(store),
+      duty(duty),
+      gate(gate),
+      find_pool(std::move(find_pool)),
+      socket(context.loop),
+      timer(context.loop),
+      incarnation(kernel::RandomIdentifier()) {}
+
+bool FleetExchange::Listen() {
+  const auto address = transport::ParseSocketAddress(
+      this->context.settings.ip + ":" +
+      std::to_string(this->context.settings.peer_port));
+  if (!address) {
+    return false;
+  }
+  const udp::endpoint own(address->address(), address->port());
+  boost::system::error_code error;
+  this->socket.open(own.protocol(), error);
+  this->socket.bind(own, error);
+  if (error) {
+    return false;
+  }
+  this->socket.non_blocking(true, error);
+  this->Receive();
+  this->Schedule(milliseconds(0));
+  return true;
+}
+
+void FleetExchange::Receive() {
+  this->socket.async_receive_from(
+      boost::asio::buffer(this->buffer), this->sender,
+      [this](boost::system::error_code error, std::size_t size) {
+        if (error == boost::asio::error::operation_aborted) {
+          return;
+        }
+        if (!error) {
+          this->OnDatagram(std::string_view(this->buffer.data(), size));
+        }
+        this->Receive();
+      });
+}
+
+void FleetExchange::OnDatagram(std::string_view bytes) {
+  if (const auto report = peer::DecodeReport(bytes)) {
+    this->OnReport(*report);
+  } else if (const auto answer = peer::DecodeAnswer(bytes)) {
+    this->OnAnswer(*answer);
+  } else {
+    this->context.metrics.Count("datagrams_malformed");
+    this->context.request_log.Write(
+        kDatagramIgnored, this->context.clock.Now(),
+        {{"sender", this->sender.address().to_string()},
+         {"bytes", bytes.size()}});
+  }
+}
+
+bool FleetExchange::CanAnswer(Instant now) {
+  const auto& record = this->duty.Lease().Record();
+  if (!this->duty.Lease().IsHeld(now) || !record ||
+      !this->store.HasReadFleetSince(this->duty.HeldSince()) ||
+      !this->context.configuration) {
+    return false;
+  }
+  if (record->token != this->coordinated_token) {
+    this->coordinated_token = record->token;
+    this->coordinator.Reset(now);
+  }
+  this->coordinator.SetVms(this->store.VmNames());
+  return true;
+}
+
+void FleetExchange::OnReport(const peer::FleetReport& report) {
+  if (!this->CanAnswer(this->context.clock.Now())) {
+    return;
+  }
+  this->reporters[report.vm] = this->sender;
+  this->Send(peer::Encode(this->Answer(report)), this->sender);
+}
+
+peer::FleetAnswer FleetExchange::Answer(const peer::FleetReport& report) {
+  const Instant now = this->context.clock.Now();
+  peer::FleetAnswer answer;
+  answer.sequence = report.sequence;
+  answer.token = this->coordinated_token;
+  answer.primaries_version = this->context.primaries.NewestVersion();
+  for (const auto& [service, record] : this->context.primaries.Records()) {
+    if (record.version > report.primaries_version) {
+      answer.primaries.push_back(record);
+    }
+    const auto sample = this->find_pool(service).NewestSample();
+    if (sample) {
+      answer.positions[service] = {sample->position,
+                                   Age(now, sample->covers)};
+    }
+  }
+  const limits::RateWindow window{this->context.settings.rate_window,
+                                  this->context.settings.rate_overrun,
+                                  this->context.settings.rate_tolerance};
+  this->coordinator.OnReported(report.vm, report.incarnation, now);
+  for (const auto& [name, demand] : report.accounts) {
+    const auto found = this->context.configuration->accounts.find(name);
+    if (found == this->context.configuration->accounts.end()) {
+      continue;
+    }
+    const limits::ShareAmount limit =
+        limits::EqualVmShare(found->second.operations_per_second,
+                             found->second.burst, window, 1);
+    answer.accounts[name] =
+        this->coordinator.Assign(report.vm, name, limit, demand, now);
+  }
+  answer.operator_rows = {this->store.OperatorRows().version,
+                          Age(now, this->store.OperatorRows().read_at)};
+  answer.endpoint_rows = {this->store.EndpointRows().version,
+                          Age(now, this->store.EndpointRows().read_at)};
+  answer.vm_count = std::max(1, this->coordinator.ReportingVms(now));
+  return answer;
+}
+
+void FleetExchange::OnAnswer(const peer::FleetAnswer& answer) {
+  if (answer.sequence == 0) {
+    this->ReportSoon();
+    return;
+  }
+  const auto sent = this->in_flight.find(answer.sequence);
+  if (sent == this->in_flight.end()) {
+    return;
+  }
+  const Instant sent_at = sent->second;
+  this->in_flight.erase(sent);
+  this->Apply(answer, sent_at);
+}
+
+void FleetExchange::Apply(const peer::FleetAnswer& answer, Instant sent) {
+  bool has_changed = false;
+  for (const routing::PrimaryRecord& record : answer.primaries) {
+    if (this->context.primaries.Adopt(record)) {
+      has_changed = true;
+      LogEvent(kPrimaryAdopted, {{"service", record.service},
+                                 {"endpoint", record.endpoint_id},
+                                 {"term", record.term},
+                                 {"changing", record.is_changing},
+                                 {"row_version", record.version},
+                                 {"source", "holder"}});
+    }
+  }
+  this->context.primaries.ConfirmAll(answer.primaries_version, sent);
+  this->context.holder_heard = std::max(this->context.holder_heard, sent);
+  this->context.vm_count = answer.vm_count;
+  for (const auto& [service, sample] : answer.positions) {
+    this->find_pool(service).AddSample(sample.position, sent - sample.age);
+  }
+  this->store.OnHint(
+      {answer.operator_rows.version, sent - answer.operator_rows.age},
+      {answer.endpoint_rows.version, sent - answer.endpoint_rows.age});
+  this->gate.OnAnswer(sent);
+  if (answer.sequence > this->applied_sequence) {
+    this->applied_sequence = answer.sequence;
+    for (const auto& [account, grant] : answer.accounts) {
+      this->gate.OnGrant(account, grant, sent);
+    }
+  }
+  if (has_changed) {
+    this->store.NotifyChange();
+  }
+}
+
+peer::FleetReport FleetExchange::MakeReport() {
+  peer::FleetReport report;
+  report.vm = this->context.settings.vm;
+  report.incarnation = this->incarnation;
+  report.sequence = ++this->sequence;
+  report.primaries_version = this->context.primaries.NewestVersion();
+  report.accounts = this->gate.Report(this->context.clock.Now());
+  return report;
+}
+
+void FleetExchange::Report() {
+  const Instant now = this->context.clock.Now();
+  this->last_report = now;
+  this->is_report_due = false;
+  const auto& duty_record = this->duty.Lease().Record();
+  if (!duty_record || duty_record->holder.empty()) {
+    return;
+  }
+  if (duty_record->holder == this->context.settings.vm) {
+    if (this->CanAnswer(now)) {
+      this->Apply(this->Answer(this->MakeReport()), now);
+    }
+    return;
+  }
+  const auto holder = transport::ParseSocketAddress(duty_record->address);
+  if (!holder) {
+    return;
+  }
+  const peer::FleetReport report = this->MakeReport();
+  this->in_flight[report.sequence] = now;
+  while (this->in_flight.size() > kMaximumInFlight) {
+    this->in_flight.erase(this->in_flight.begin());
+  }
+  this->Send(peer::Encode(report),
+             udp::endpoint(holder->address(), holder->port()));
+}
+
+void FleetExchange::ReportSoon() {
+  if (std::exchange(this->is_report_due, true)) {
+    return;
+  }
+  const Instant now = this->context.clock.Now();
+  const auto since = std::chrono::duration_cast<milliseconds>(
+      now - this->last_report);
+  this->Schedule(std::max(milliseconds(0), kMinimumPeriod - since));
+}
+
+void FleetExchange::Schedule(milliseconds delay) {
+  this->timer.expires_after(delay);
+  this->timer.async_wait([this](boost::system::error_code error) {
+    if (error) {
+      return;
+    }
+    this->Report();
+    if (!this->is_report_due) {
+      this->Schedule(kReportPeriod);
+    }
+  });
+}
+
+void FleetExchange::Announce() {
+  peer::FleetAnswer answer;
+  answer.token = this->coordinated_token;
+  const std::string bytes = peer::Encode(answer);
+  for (const auto& [vm, address] : this->reporters) {
+    this->Send(bytes, address);
+  }
+}
+
+void FleetExchange::Send(const std::string& bytes,
+                         const udp::endpoint& target) {
+  boost::system::error_code error;
+  this->socket.send_to(boost::asio::buffer(bytes), target, 0, error);
+  if (error) {
+    // The next report is due within half a second.
+    this->context.metrics.Count("datagrams_not_sent");
+  }
+}
+
+}  // namespace laburnumkeel::proxy
--- a/programs/laburnumkeel-proxy/primary_duty.cpp
+++ b/programs/laburnumkeel-proxy/primary_duty.cpp
@@ -38,10 +38,12 @@
 
 PrimaryDuty::PrimaryDuty(
     ProxyContext& context, StoreLink& store,
-    std::function<ServicePool&(const std::string&)> find_pool)
+    std::function<ServicePool&(const std::string&)> find_pool,
+    std::function<void()> on_published)
     : context(context),
       store(store),
       find_pool(std::move(find_pool)),
+      on_published(std::move(on_published)),
       lease(context.settings.vm) {}
 
 bool PrimaryDuty::IsHeld() const {
@@ -100,10 +102,15 @@
       {{std::string(kFleetTable), std::string(kDutyKey),
         this->lease.Version()}},
       {{std::string(kFleetTable), std::string(kDutyKey), EncodeDuty(record)}},
-      [this, record, now](const WriteOutcome& outcome) {
+      [this, record, now, is_held](const WriteOutcome& outcome) {
         this->is_writing = false;
         if (outcome.kind == WriteOutcome::Kind::kDone) {
+          if (!is_held) {
+            this->held_since = this->context.clock.Now();
+          }
           this->lease.OnWritten(record, outcome.version, now);
+        } else {
+          this->store.ReadFleetSoon();
         }
       });
 }
@@ -185,6 +192,9 @@
           this->context.primaries.Confirm(record.service, outcome.version,
                                           sent);
           this->store.OnPrimaryWritten(record.service, outcome.version);
+          this->on_published();
+        } else {
+          this->store.ReadFleetSoon();
         }
         handler(is_done);
       });
--- a/programs/laburnumkeel-proxy/primary_duty.h
+++ b/programs/laburnumkeel-proxy/primary_duty.h
@@ -22,7 +22,8 @@
 class PrimaryDuty {
  public:
   PrimaryDuty(ProxyContext& context, StoreLink& store,
-              std::function<ServicePool&(const std::string&)> find_pool);
+              std::function<ServicePool&(const std::string&)> find_pool,
+              std::function<void()> on_published);
 
   void OnDutyRow(const promotion::DutyRecord* record, std::uint64_t version);
 
@@ -33,6 +34,11 @@
 
   bool IsHeld() const;
 
+  const promotion::DutyLease& Lease() const { return this->lease; }
+
+  // When the store confirmed that this VM took the duty over.
+  kernel::Instant HeldSince() const { return this->held_since; }
+
  private:
   struct Change {
     bool is_planned = false;
@@ -92,12 +98,14 @@
   ProxyContext& context;
   StoreLink& store;
   std::function<ServicePool&(const std::string&)> find_pool;
+  std::function<void()> on_published;
   promotion::DutyLease lease;
   std::map<std::string, Watch> watches;
   std::map<std::string, std::unique_ptr<transport::HttpChannel>> channels;
   kernel::Instant renew_at;
   bool is_writing = false;
   bool was_held = false;
+  kernel::Instant held_since;
   bool is_released = false;
 };
 
--- a/programs/laburnumkeel-proxy/proxy.cpp
+++ b/programs/laburnumkeel-proxy/proxy.cpp
@@ -7,7 +7,6 @@
 #include <vector>
 
 #include "laburnumkeel/kernel/event_log.h"
-#include "laburnumkeel/limits/vm_share.h"
 #include "laburnumkeel/transport/socket_address.h"
 #include "platform/promotion_call.h"
 #include "programs/laburnumkeel-proxy/events.h"
@@ -34,7 +33,6 @@
 constexpr milliseconds kIdleSessionSpread{1500};
 // The program ends this long before it would be killed.
 constexpr milliseconds kStopMargin{800};
-constexpr std::chrono::hours kLimitLifetime{24};
 
 }  // namespace
 
@@ -47,16 +45,22 @@
                                    std::uint64_t version) {
                               this->duty.OnDutyRow(record, version);
                             }}),
-      duty(this->context, this->store,
-           [this](const std::string& service) -> ServicePool& {
-             return this->FindPool(service);
-           }),
-      environment{
-          this->context,
+      duty(
+          this->context, this->store,
           [this](const std::string& service) -> ServicePool& {
             return this->FindPool(service);
           },
-          [this](const std::string& account) { return this->Admit(account); }},
+          [this] { this->exchange.Announce(); }),
+      gate(this->context, [this] { this->exchange.ReportSoon(); }),
+      exchange(this->context, this->store, this->duty, this->gate,
+               [this](const std::string& service) -> ServicePool& {
+                 return this->FindPool(service);
+               }),
+      environment{this->context,
+                  [this](const std::string& service) -> ServicePool& {
+                    return this->FindPool(service);
+                  },
+                  this->gate},
       acceptor(this->context.loop),
       probe(this->context.loop,
             [this](const std::string& target) {
@@ -70,7 +74,7 @@
     return 1;
   }
   this->WaitForSignal();
-  this->store.Start();
+  this->store.Tick(this->context.clock.Now(), false);
   this->ScheduleTick();
   this->context.loop.run();
   LogEvent(kProxyStopped, {{"vm", this->context.settings.vm}});
@@ -91,7 +95,8 @@
   if (!error) {
     this->acceptor.listen(kListenBacklog, error);
   }
-  if (error || !this->probe.Listen(this->context.settings.readiness_address)) {
+  if (error || !this->probe.Listen(this->context.settings.readiness_address) ||
+      !this->exchange.Listen()) {
     LogEvent(kSettingsInvalid,
              {{"reason", "an address cannot be used"},
               {"client_address", this->context.settings.client_address},
@@ -231,6 +236,8 @@
     pool->Tick(now);
   }
   this->duty.Tick(now);
+  this->store.Tick(now, this->duty.IsHeld());
+  this->gate.Tick(now);
   this->EndIdleTransactions(now);
   if (this->context.is_stopping) {
     this->ContinueStop(now);
@@ -259,27 +266,9 @@
   for (const auto& [name, pool] : this->pools) {
     pool->OnDirectoryChanged();
   }
-}
-
-bool Proxy::Admit(const std::string& account) {
-  const auto& accounts = this->context.configuration->accounts;
-  const auto found = accounts.find(account);
-  if (found == accounts.end()) {
-    return true;
-  }
-  const Instant now = this->context.clock.Now();
-  const limits::RateWindow window{this->context.settings.rate_window,
-                                  this->context.settings.rate_overrun,
-                                  this->context.settings.rate_tolerance};
-  const limits::ShareAmount share =
-      limits::EqualVmShare(found->second.operations_per_second,
-                           found->second.burst, window, this->context.vm_count);
-  const auto [entry, is_new] = this->buckets.try_emplace(account);
-  limits::TokenBucket& bucket = entry->second;
-  if (is_new || bucket.Dynamic().amount != share) {
-    bucket.Apply({share, now + kLimitLifetime}, {}, now);
+  if (this->duty.IsHeld()) {
+    this->exchange.Announce();
   }
-  return bucket.TryTake(now);
 }
 
 ServicePool& Proxy::FindPool(const std::string& service) {
--- a/programs/laburnumkeel-proxy/proxy.h
+++ b/programs/laburnumkeel-proxy/proxy.h
@@ -9,9 +9,10 @@
 #include <set>
 #include <string>
 
-#include "laburnumkeel/limits/token_bucket.h"
 #include "laburnumkeel/transport/http_responder.h"
+#include "programs/laburnumkeel-proxy/account_gate.h"
 #include "programs/laburnumkeel-proxy/client_session.h"
+#include "programs/laburnumkeel-proxy/fleet_exchange.h"
 #include "programs/laburnumkeel-proxy/primary_duty.h"
 #include "programs/laburnumkeel-proxy/proxy_context.h"
 #include "programs/laburnumkeel-proxy/service_pool.h"
@@ -37,7 +38,6 @@
   void ScheduleTick();
   void Tick();
   void OnDirectoryChanged();
-  bool Admit(const std::string& account);
   ServicePool& FindPool(const std::string& service);
   bool IsReady() const;
   void EndIdleTransactions(kernel::Instant now);
@@ -46,9 +46,10 @@
   ProxyContext context;
   const std::string settings_path;
   std::map<std::string, std::unique_ptr<ServicePool>> pools;
-  std::map<std::string, limits::TokenBucket> buckets;
   StoreLink store;
   PrimaryDuty duty;
+  AccountGate gate;
+  FleetExchange exchange;
   SessionEnvironment environment;
   std::set<std::shared_ptr<ClientSession>> sessions;
   boost::asio::ip::tcp::acceptor acceptor;
--- a/programs/laburnumkeel-proxy/proxy_context.h
+++ b/programs/laburnumkeel-proxy/proxy_context.h
@@ -37,6 +37,8 @@
   routing::PrimaryTable primaries;
   // VMs that share the rates and the connections of endpoints.
   int vm_count = 1;
+  // When the last answered report to the holder of the duty was sent.
+  kernel::Instant holder_heard;
   bool is_stopping = false;
 };
 
--- a/programs/laburnumkeel-proxy/service_pool.h
+++ b/programs/laburnumkeel-proxy/service_pool.h
@@ -51,6 +51,14 @@
   // The directory, the evacuated data centres or the primary changed.
   void OnDirectoryChanged();
 
+  // A position heard by another VM.
+  void AddSample(const model::LogPosition& position, kernel::Instant covers) {
+    this->samples.Add(position, covers);
+  }
+  std::optional<routing::PositionSample> NewestSample() const {
+    return this->samples.Newest();
+  }
+
   // Drops a statement whose client is gone.
   void Cancel(const JobPointer& job);
 
--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -19,12 +19,18 @@
 
 namespace {
 
-// A configuration has to be in force within a few seconds, so a feed that went
-// silent has to be noticed earlier than that.
-constexpr milliseconds kOperatorWait{2000};
-constexpr milliseconds kEndpointPause{1000};
-// Several polls fit into the lifetime of a proof.
+// A configuration has to be in force within 3 s; the holder's feed answers
+// after kFeedWait even without changes, which bounds the age of its word.
+constexpr milliseconds kFeedWait{1000};
+constexpr milliseconds kOperatorAge{2000};
+// A departed endpoint has to be left within several seconds.
+constexpr milliseconds kEndpointPause{700};
+constexpr milliseconds kEndpointAge{2000};
+// A holder that is silent for this long is asked no more; the store is.
+constexpr milliseconds kHolderSilence{900};
+// Several readings fit into the lifetime of a proof.
 constexpr milliseconds kFleetPause{450};
+constexpr milliseconds kDutyFleetPause{2000};
 // Above the store's usual answer time by two orders of magnitude.
 constexpr milliseconds kCallTimeout{700};
 constexpr milliseconds kWriteTimeout{1500};
@@ -40,25 +46,67 @@
     : context(context),
       observers(std::move(observers)),
       fleet_channel(context.loop, context.settings.store_address),
-      fleet_timer(context.loop),
       write_channel(context.loop, context.settings.store_address) {
   this->operator_rows.table = platform_adapter::kOperatorTable;
-  this->operator_rows.wait = kOperatorWait;
-  this->operator_rows.pause = milliseconds(0);
+  this->operator_rows.maximum_age = kOperatorAge;
+  this->operator_rows.duty_pause = milliseconds(0);
+  this->operator_rows.duty_wait = kFeedWait;
   this->endpoint_rows.table = platform_adapter::kEndpointTable;
-  this->endpoint_rows.wait = milliseconds(0);
-  this->endpoint_rows.pause = kEndpointPause;
+  this->endpoint_rows.maximum_age = kEndpointAge;
+  this->endpoint_rows.duty_pause = kEndpointPause;
+  this->endpoint_rows.duty_wait = milliseconds(0);
   for (Follower* follower : {&this->operator_rows, &this->endpoint_rows}) {
     follower->channel = std::make_unique<transport::HttpChannel>(
         context.loop, context.settings.store_address);
-    follower->timer = std::make_unique<boost::asio::steady_timer>(context.loop);
   }
 }
 
-void StoreLink::Start() {
-  this->Follow(this->operator_rows);
-  this->Follow(this->endpoint_rows);
-  this->PollFleet();
+void StoreLink::Tick(Instant now, bool new_holds_duty) {
+  this->holds_duty = new_holds_duty;
+  for (Follower* follower : {&this->operator_rows, &this->endpoint_rows}) {
+    if (this->IsDue(*follower, now)) {
+      this->Follow(*follower, now);
+    }
+  }
+  if (this->IsFleetDue(now)) {
+    this->PollFleet(now);
+  }
+  const bool is_current =
+      now < std::max(this->endpoint_rows.state.read_at,
+                     this->endpoint_rows.hint.read_at) +
+                kEndpointAge;
+  // An entry only counts as gone while the store can say that it is back.
+  if (is_current && this->DropLapsedEndpoints()) {
+    this->observers.on_change();
+  }
+}
+
+void StoreLink::OnHint(const TableState& operator_state,
+                       const TableState& endpoint_state) {
+  const Instant now = this->context.clock.Now();
+  const auto take = [&](Follower& follower, const TableState& hint) {
+    follower.hint.version = std::max(follower.hint.version, hint.version);
+    follower.hint.read_at = std::max(follower.hint.read_at, hint.read_at);
+    if (this->IsDue(follower, now)) {
+      this->Follow(follower, now);
+    }
+  };
+  take(this->operator_rows, operator_state);
+  take(this->endpoint_rows, endpoint_state);
+}
+
+bool StoreLink::IsDue(const Follower& follower, Instant now) const {
+  if (follower.channel->IsBusy() || now < follower.retry_at) {
+    return false;
+  }
+  if (!follower.is_loaded || follower.hint.version > follower.version) {
+    return true;
+  }
+  if (this->holds_duty) {
+    return now >= follower.state.read_at + follower.duty_pause;
+  }
+  return now >= std::max(follower.state.read_at, follower.hint.read_at) +
+                    follower.maximum_age;
 }
 
 bool StoreLink::IsComplete() const {
@@ -77,43 +125,36 @@
   known = std::max(known, version);
 }
 
-void StoreLink::Follow(Follower& follower) {
+void StoreLink::Follow(Follower& follower, Instant now) {
   HttpCall call;
+  follower.wait = milliseconds(0);
   if (follower.is_loaded) {
-    call.target = platform_adapter::FeedTarget(follower.table, follower.version,
-                                               follower.wait.count());
+    if (this->holds_duty) {
+      follower.wait = follower.duty_wait;
+    }
+    call.target = platform_adapter::FeedTarget(
+        follower.table, follower.version, follower.wait.count());
   } else {
     call.target =
         platform_adapter::RowsTarget(follower.table, follower.load_from);
   }
-  call.timeout =
-      kCallTimeout + (follower.is_loaded ? follower.wait : milliseconds(0));
+  call.timeout = kCallTimeout + follower.wait;
+  follower.called_at = now;
   this->context.metrics.Count("store_reads");
   follower.channel->Send(call, [this, &follower](const HttpAnswer& answer) {
     this->OnFollowed(follower, answer);
+    const Instant answered = this->context.clock.Now();
+    if (this->IsDue(follower, answered)) {
+      this->Follow(follower, answered);
+    }
   });
 }
 
-void StoreLink::FollowLater(Follower& follower, milliseconds delay) {
-  if (delay.count() == 0) {
-    this->Follow(follower);
-    return;
-  }
-  follower.timer->expires_after(delay);
-  follower.timer->async_wait(
-      [this, &follower](boost::system::error_code error) {
-        if (!error) {
-          this->Follow(follower);
-        }
-      });
-}
-
 void StoreLink::OnFollowed(Follower& follower, const HttpAnswer& answer) {
   if (answer.status == platform_adapter::kHistoryGone) {
     follower.is_loaded = false;
     follower.load_from.clear();
     follower.loading.clear();
-    this->FollowLater(follower, milliseconds(0));
     return;
   }
   std::optional<StoreRows> rows;
@@ -125,7 +166,7 @@
       LogEvent(kStoreLost,
                {{"table", follower.table}, {"status", answer.status}});
     }
-    this->FollowLater(follower, kFailurePause);
+    follower.retry_at = this->context.clock.Now() + kFailurePause;
     return;
   }
   if (std::exchange(follower.is_lost, false)) {
@@ -135,8 +176,12 @@
       since = this->context.clock.Now();
     }
   }
+  bool has_changed = false;
   for (const StoreRow& row : rows->rows) {
-    this->Apply(follower, row);
+    if (this->Apply(follower, row)) {
+      has_changed = true;
+      follower.state.version = std::max(follower.state.version, row.version);
+    }
     if (!follower.is_loaded) {
       follower.loading.push_back(row.key);
     }
@@ -144,7 +189,6 @@
   if (!follower.is_loaded && rows->has_more && !rows->rows.empty()) {
     // The range includes its start; a NUL makes it begin after the last key.
     follower.load_from = rows->rows.back().key + "%00";
-    this->FollowLater(follower, milliseconds(0));
     return;
   }
   if (!follower.is_loaded) {
@@ -153,27 +197,29 @@
     follower.load_from.clear();
     follower.is_loaded = true;
   }
+  const Instant now = this->context.clock.Now();
   follower.version = std::max(follower.version, rows->store_version);
-  this->DropLapsedEndpoints();
-  this->observers.on_change();
-  this->FollowLater(follower, follower.pause);
+  follower.state.read_at = now;
+  if (follower.version < follower.hint.version) {
+    // The store answered with an older state than another VM has seen.
+    follower.retry_at = now + kFailurePause;
+  }
+  if (has_changed) {
+    this->observers.on_change();
+  }
 }
 
-void StoreLink::Apply(Follower& follower, const StoreRow& row) {
-  if (&follower == &this->endpoint_rows) {
-    this->ApplyEndpoint(row);
-  } else {
-    this->ApplyOperatorRow(row);
-  }
+bool StoreLink::Apply(Follower& follower, const StoreRow& row) {
+  return &follower == &this->endpoint_rows ? this->ApplyEndpoint(row)
+                                           : this->ApplyOperatorRow(row);
 }
 
-void StoreLink::ApplyOperatorRow(const StoreRow& row) {
+bool StoreLink::ApplyOperatorRow(const StoreRow& row) {
   if (row.key == platform_adapter::kConfigurationKey) {
-    this->ApplyConfiguration(row);
-    return;
+    return this->ApplyConfiguration(row);
   }
   if (!row.key.starts_with(platform_adapter::kEvacuationPrefix)) {
-    return;
+    return false;
   }
   const std::string data_centre =
       row.key.substr(platform_adapter::kEvacuationPrefix.size());
@@ -187,55 +233,54 @@
                                   {"evacuated", !row.is_removed},
                                   {"row_version", row.version}});
   }
+  return has_changed;
 }
 
-void StoreLink::ApplyConfiguration(const StoreRow& row) {
+bool StoreLink::ApplyConfiguration(const StoreRow& row) {
   if (row.is_removed) {
-    return;
+    return false;
   }
   auto decoded = platform_adapter::DecodeConfiguration(row.value);
   if (!decoded) {
     LogEvent(kRowIgnored, {{"key", row.key}, {"row_version", row.version}});
-    return;
+    return false;
   }
   const auto& current = this->context.configuration;
   if (current && decoded->version <= current->version) {
-    return;
+    return false;
   }
   LogEvent(kConfigurationAdopted, {{"version", decoded->version},
                                    {"row_version", row.version},
                                    {"routes", decoded->routes.size()}});
   this->context.configuration =
       std::make_shared<const model::ProxyConfiguration>(std::move(*decoded));
+  return true;
 }
 
-void StoreLink::ApplyEndpoint(const StoreRow& row) {
+bool StoreLink::ApplyEndpoint(const StoreRow& row) {
   auto& endpoints = this->context.endpoints;
-  if (row.is_removed) {
-    if (endpoints.contains(row.key)) {
-      this->lapsed.try_emplace(row.key, this->context.clock.Now());
-    }
-    return;
+  std::optional<model::DatabaseEndpoint> decoded;
+  if (!row.is_removed) {
+    decoded = platform_adapter::DecodeEndpoint(row.key, row.value);
   }
-  auto decoded = platform_adapter::DecodeEndpoint(row.key, row.value);
+  const auto known = endpoints.find(row.key);
   if (!decoded) {
-    if (endpoints.contains(row.key)) {
-      this->lapsed.try_emplace(row.key, this->context.clock.Now());
-    }
-    return;
+    return known != endpoints.end() &&
+           this->lapsed.try_emplace(row.key, this->context.clock.Now()).second;
   }
-  this->lapsed.erase(row.key);
-  const auto known = endpoints.find(row.key);
+  const bool is_back = this->lapsed.erase(row.key) > 0;
   if (known != endpoints.end() && known->second == *decoded) {
-    return;
+    return is_back;
   }
   LogEvent(kEndpointChanged, {{"endpoint", row.key},
                               {"service", decoded->service},
                               {"address", decoded->address},
                               {"data_centre", decoded->data_centre},
                               {"draining", decoded->is_draining},
-                              {"primary", decoded->claims_primary}});
+                              {"primary", decoded->claims_primary},
+                              {"row_version", row.version}});
   endpoints[row.key] = std::move(*decoded);
+  return true;
 }
 
 void StoreLink::DropUnseen(const Follower& follower) {
@@ -257,32 +302,43 @@
   });
 }
 
-void StoreLink::DropLapsedEndpoints() {
+bool StoreLink::DropLapsedEndpoints() {
   const Instant now = this->context.clock.Now();
-  std::erase_if(this->lapsed, [&](const auto& entry) {
-    if (now < entry.second + kLapsedGrace) {
-      return false;
-    }
-    LogEvent(kEndpointChanged, {{"endpoint", entry.first}, {"gone", true}});
-    this->context.endpoints.erase(entry.first);
+  const std::size_t dropped =
+      std::erase_if(this->lapsed, [&](const auto& entry) {
+        if (now < entry.second + kLapsedGrace) {
+          return false;
+        }
+        LogEvent(kEndpointChanged, {{"endpoint", entry.first}, {"gone", true}});
+        this->context.endpoints.erase(entry.first);
+        return true;
+      });
+  return dropped > 0;
+}
+
+bool StoreLink::IsFleetDue(Instant now) const {
+  if (this->fleet_channel.IsBusy()) {
+    return false;
+  }
+  if (this->is_fleet_due) {
     return true;
-  });
+  }
+  const Instant next = this->fleet_called_at +
+                       (this->holds_duty ? kDutyFleetPause : kFleetPause);
+  const bool is_served = !this->holds_duty &&
+                         now < this->context.holder_heard + kHolderSilence;
+  return now >= next && !is_served;
 }
 
-void StoreLink::PollFleet() {
+void StoreLink::PollFleet(Instant now) {
+  this->is_fleet_due = false;
+  this->fleet_called_at = now;
   HttpCall call;
   call.target = platform_adapter::RowsTarget(kFleetTable, "");
   call.timeout = kCallTimeout;
-  const Instant sent = this->context.clock.Now();
   this->context.metrics.Count("store_reads");
-  this->fleet_channel.Send(call, [this, sent](const HttpAnswer& answer) {
-    this->OnFleet(answer, sent);
-    this->fleet_timer.expires_after(kFleetPause);
-    this->fleet_timer.async_wait([this](boost::system::error_code error) {
-      if (!error) {
-        this->PollFleet();
-      }
-    });
+  this->fleet_channel.Send(call, [this, now](const HttpAnswer& answer) {
+    this->OnFleet(answer, now);
   });
 }
 
@@ -295,7 +351,8 @@
     return;
   }
   bool has_duty = false;
-  int vms = 0;
+  this->fleet_read_sent = sent;
+  this->vm_names.clear();
   bool has_changed = false;
   const std::string own_key =
       std::string(kVmKeyPrefix) + this->context.settings.vm;
@@ -324,14 +381,15 @@
       }
       this->context.primaries.Confirm(service, row.version, sent);
     } else if (row.key.starts_with(kVmKeyPrefix)) {
-      ++vms;
+      this->vm_names.insert(row.key.substr(kVmKeyPrefix.size()));
       this->is_registered |= row.key == own_key;
     }
   }
   if (!has_duty) {
     this->observers.on_duty(nullptr, 0);
   }
-  this->context.vm_count = std::max(vms, 1);
+  this->context.vm_count =
+      std::max<int>(1, static_cast<int>(this->vm_names.size()));
   if (!this->is_registered) {
     this->RegisterVm();
   }
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -1,10 +1,12 @@
 #ifndef LABURNUMKEEL_PROGRAMS_PROXY_STORE_LINK_H_
 #define LABURNUMKEEL_PROGRAMS_PROXY_STORE_LINK_H_
 
-#include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <map>
+#include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,9 +37,39 @@
     std::uint64_t version = 0;
   };
 
+  // What is known of a table: the newest version at which one of its rows
+  // changed, as of an instant.
+  struct TableState {
+    std::uint64_t version = 0;
+    kernel::Instant read_at;
+  };
+
   StoreLink(ProxyContext& context, Observers observers);
 
-  void Start();
+  // Starts the calls that are due. With `holds_duty` the tables are followed
+  // closely on behalf of the other VMs; otherwise they are read when another
+  // VM reports a change, or when nobody has for a while.
+  void Tick(kernel::Instant now, bool holds_duty);
+
+  // Another VM has read the tables.
+  void OnHint(const TableState& operator_state,
+              const TableState& endpoint_state);
+
+  const TableState& OperatorRows() const { return this->operator_rows.state; }
+  const TableState& EndpointRows() const { return this->endpoint_rows.state; }
+
+  // Reads the fleet's rows at the next tick.
+  void ReadFleetSoon() { this->is_fleet_due = true; }
+
+  // True when the fleet's rows were read by a call sent after `instant`.
+  bool HasReadFleetSince(kernel::Instant instant) const {
+    return this->fleet_read_sent > instant;
+  }
+
+  const std::set<std::string>& VmNames() const { return this->vm_names; }
+
+  // Tells the observers that primaries changed.
+  void NotifyChange() { this->observers.on_change(); }
 
   // Writes rows of the fleet's table, one call after the other.
   void Write(std::vector<platform_adapter::RowExpectation> expectations,
@@ -57,12 +89,18 @@
   // Follows one table: reads it in full, then what changed since.
   struct Follower {
     std::string table;
-    // How long the store holds a call without changes.
-    std::chrono::milliseconds wait;
-    // Pause between calls.
-    std::chrono::milliseconds pause;
+    // Without a reading for this long, the table is read.
+    kernel::Duration maximum_age;
+    // While holding the duty: pause between calls, and how long the store
+    // holds a call without changes.
+    std::chrono::milliseconds duty_pause;
+    std::chrono::milliseconds duty_wait;
     std::unique_ptr<transport::HttpChannel> channel;
-    std::unique_ptr<boost::asio::steady_timer> timer;
+    kernel::Instant retry_at;
+    kernel::Instant called_at;
+    std::chrono::milliseconds wait{0};
+    TableState state;
+    TableState hint;
     bool is_loaded = false;
     std::uint64_t version = 0;
     // Keys seen while reading in full.
@@ -76,17 +114,19 @@
     std::function<void(const WriteOutcome&)> handler;
   };
 
-  void Follow(Follower& follower);
+  bool IsDue(const Follower& follower, kernel::Instant now) const;
+  void Follow(Follower& follower, kernel::Instant now);
   void OnFollowed(Follower& follower, const transport::HttpAnswer& answer);
-  void FollowLater(Follower& follower, std::chrono::milliseconds delay);
-  void Apply(Follower& follower, const platform_adapter::StoreRow& row);
-  void ApplyOperatorRow(const platform_adapter::StoreRow& row);
-  void ApplyConfiguration(const platform_adapter::StoreRow& row);
-  void ApplyEndpoint(const platform_adapter::StoreRow& row);
+  bool Apply(Follower& follower, const platform_adapter::StoreRow& row);
+  // Each returns true when the row says something new.
+  bool ApplyOperatorRow(const platform_adapter::StoreRow& row);
+  bool ApplyConfiguration(const platform_adapter::StoreRow& row);
+  bool ApplyEndpoint(const platform_adapter::StoreRow& row);
   void DropUnseen(const Follower& follower);
-  void DropLapsedEndpoints();
+  bool DropLapsedEndpoints();
 
-  void PollFleet();
+  bool IsFleetDue(kernel::Instant now) const;
+  void PollFleet(kernel::Instant now);
   void OnFleet(const transport::HttpAnswer& answer, kernel::Instant sent);
   void RegisterVm();
   void SendNextWrite();
@@ -96,10 +136,14 @@
   Follower operator_rows;
   Follower endpoint_rows;
   transport::HttpChannel fleet_channel;
-  boost::asio::steady_timer fleet_timer;
   transport::HttpChannel write_channel;
   std::deque<PendingWrite> writes;
   bool is_registered = false;
+  bool is_fleet_due = true;
+  bool holds_duty = false;
+  kernel::Instant fleet_called_at;
+  kernel::Instant fleet_read_sent;
+  std::set<std::string> vm_names;
   // Endpoints whose entry is gone, and since when.
   std::map<std::string, kernel::Instant> lapsed;
   std::map<std::string, std::uint64_t> primary_versions;
--- /dev/null
+++ b/src/laburnumkeel/limits/account_allowance.cpp
@@ -0,0 +1,49 @@
+#include "laburnumkeel/limits/account_allowance.h"
+
+namespace laburnumkeel::limits {
+
+namespace {
+
+// Operations a second below which demand counts as gone.
+constexpr double kNegligibleDemand = 0.02;
+
+}  // namespace
+
+bool AccountAllowance::TryPass(kernel::Instant now) {
+  if (this->operations > 0 && now < this->operations_lapse) {
+    --this->operations;
+    return true;
+  }
+  return this->bucket.TryTake(now);
+}
+
+void AccountAllowance::OnGrant(const AccountGrant& grant, kernel::Instant sent,
+                               kernel::Instant now) {
+  this->bucket.Apply({grant.share, sent + RateCoordinator::kShareLifetime}, {},
+                     now);
+  if (now >= this->operations_lapse) {
+    this->operations = 0;
+  }
+  if (grant.operations > 0) {
+    this->operations += grant.operations;
+    this->operations_lapse = now + kOperationLifetime;
+  }
+}
+
+AccountReport AccountAllowance::Report(int waiting, kernel::Instant now) const {
+  AccountReport report;
+  report.demand = this->meter.PerSecond(now);
+  const LeasedAmount& share = this->bucket.Dynamic();
+  if (now < share.expiry) {
+    report.held = share.amount;
+  }
+  report.wanted = waiting;
+  return report;
+}
+
+bool AccountAllowance::IsUnused(kernel::Instant now) const {
+  return this->meter.PerSecond(now) < kNegligibleDemand &&
+         now >= this->bucket.Dynamic().expiry;
+}
+
+}  // namespace laburnumkeel::limits
--- /dev/null
+++ b/src/laburnumkeel/limits/rate_coordinator.h
@@ -0,0 +1,100 @@
+#ifndef LABURNUMKEEL_LIMITS_RATE_COORDINATOR_H_
+#define LABURNUMKEEL_LIMITS_RATE_COORDINATOR_H_
+
+#include <chrono>
+#include <compare>
+#include <map>
+#include <set>
+#include <string>
+
+#include "laburnumkeel/kernel/clock.h"
+#include "laburnumkeel/limits/share_amount.h"
+#include "laburnumkeel/limits/token_bucket.h"
+
+namespace laburnumkeel::limits {
+
+// What a VM reports about one account.
+struct AccountReport {
+  // Operations a second that clients ask for.
+  double demand = 0;
+  // The share that the VM uses.
+  ShareAmount held;
+  // Single operations that wait for a grant.
+  int wanted = 0;
+
+  bool operator==(const AccountReport&) const = default;
+};
+
+// What a VM may pass: a share until it lapses, and single operations.
+struct AccountGrant {
+  ShareAmount share;
+  int operations = 0;
+
+  bool operator==(const AccountGrant&) const = default;
+};
+
+// Splits the limit of each account over the VMs, on the one VM that holds the
+// duty. Most of a limit is given out as shares, which follow demand and stay
+// valid while the coordinator is away; the rest is granted as single
+// operations.
+//
+// Load patterns: clients of an account that all reach a few VMs; clients that
+// move to other VMs; an account far above its rate; the coordinator's VM lost.
+//
+// The sum of what VMs hold never exceeds a limit: a share that was lowered
+// counts in full until its VM reports that it uses the lower one, or until it
+// has lapsed; a new coordinator gives out nothing before it knows what all VMs
+// hold, or all shares of its predecessor have lapsed.
+class RateCoordinator {
+ public:
+  // A VM stops using a share this long after it sent the report that the share
+  // answers. It covers the loss of the coordinator's VM and the 9 s after which
+  // another one takes over.
+  static constexpr std::chrono::seconds kShareLifetime{12};
+  // The coordinator counts a share for longer, for the drift of clocks.
+  static constexpr std::chrono::seconds kShareRemoval{14};
+  // Part of a limit that is given out as shares.
+  static constexpr double kShareFraction = 0.6;
+
+  // Takes over the duty: what was given out before is unknown.
+  void Reset(kernel::Instant now);
+
+  // The VMs that may hold shares.
+  void SetVms(const std::set<std::string>& names);
+
+  // A VM has reported what it holds of all accounts.
+  void OnReported(const std::string& vm, const std::string& incarnation,
+                  kernel::Instant now);
+
+  // `limit` is what all VMs together may pass.
+  AccountGrant Assign(const std::string& vm, const std::string& account,
+                      const ShareAmount& limit, const AccountReport& report,
+                      kernel::Instant now);
+
+  // VMs that reported within the lifetime of a share.
+  int ReportingVms(kernel::Instant now) const;
+
+ private:
+  struct Holding {
+    ShareAmount counted;
+    ShareAmount last_grant;
+    double demand = 0;
+    kernel::Instant lapses;
+  };
+  struct Account {
+    std::map<std::string, Holding> holdings;
+    // For single operations.
+    TokenBucket remainder;
+  };
+
+  bool KnowsAllHoldings(kernel::Instant now) const;
+
+  std::map<std::string, Account> accounts;
+  std::set<std::string> vms;
+  std::map<std::string, kernel::Instant> reported_at;
+  kernel::Instant took_over;
+};
+
+}  // namespace laburnumkeel::limits
+
+#endif  // LABURNUMKEEL_LIMITS_RATE_COORDINATOR_H_
--- /dev/null
+++ b/src/laburnumkeel/peer/fleet_message.cpp
@@ -0,0 +1,174 @@
+#include "laburnumkeel/peer/fleet_message.h"
+
+#include <thrift/TApplicationException.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <memory>
+#include <utility>
+
+#include "laburnumkeel/peer/generated/fleet_types.h"
+
+namespace laburnumkeel::peer {
+
+namespace {
+
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+// First byte of a datagram.
+constexpr char kReportTag = 'R';
+constexpr char kAnswerTag = 'A';
+
+template <class Message>
+std::string Serialize(char tag, const Message& message) {
+  const auto buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocol protocol(buffer);
+  message.write(&protocol);
+  std::string bytes(1, tag);
+  bytes += buffer->getBufferAsString();
+  return bytes;
+}
+
+template <class Message>
+std::optional<Message> Deserialize(char tag, std::string_view bytes) {
+  if (bytes.empty() || bytes.front() != tag) {
+    return std::nullopt;
+  }
+  bytes.remove_prefix(1);
+  std::string copy(bytes);
+  const auto buffer = std::make_shared<TMemoryBuffer>(
+      // Thrift takes unsigned bytes.
+      // NOLINTNEXTLINE(google-readability-casting)
+      reinterpret_cast<std::uint8_t*>(copy.data()),
+      static_cast<std::uint32_t>(copy.size()));
+  TCompactProtocol protocol(buffer);
+  try {
+    Message message;
+    message.read(&protocol);
+    return message;
+  } catch (const apache::thrift::TException&) {
+    return std::nullopt;
+  }
+}
+
+generated::WirePrimary ToWire(const routing::PrimaryRecord& record) {
+  generated::WirePrimary wire;
+  wire.database_service = record.service;
+  wire.endpoint = record.endpoint_id;
+  wire.term = static_cast<std::int64_t>(record.term);
+  wire.changing = record.is_changing;
+  wire.version = static_cast<std::int64_t>(record.version);
+  return wire;
+}
+
+routing::PrimaryRecord FromWire(const generated::WirePrimary& wire) {
+  return {wire.database_service, wire.endpoint,
+          static_cast<model::Term>(wire.term), wire.changing,
+          static_cast<std::uint64_t>(wire.version)};
+}
+
+}  // namespace
+
+std::string Encode(const FleetReport& report) {
+  generated::WireReport wire;
+  wire.vm = report.vm;
+  wire.incarnation = report.incarnation;
+  wire.sequence = report.sequence;
+  wire.primaries_version = static_cast<std::int64_t>(report.primaries_version);
+  for (const auto& [name, account] : report.accounts) {
+    generated::WireAccountReport entry;
+    entry.account = name;
+    entry.demand = account.demand;
+    entry.held_rate = account.held.rate;
+    entry.held_burst = account.held.burst;
+    entry.wanted = account.wanted;
+    wire.accounts.push_back(std::move(entry));
+  }
+  return Serialize(kReportTag, wire);
+}
+
+std::string Encode(const FleetAnswer& answer) {
+  generated::WireAnswer wire;
+  wire.sequence = answer.sequence;
+  wire.token = static_cast<std::int64_t>(answer.token);
+  wire.primaries_version = static_cast<std::int64_t>(answer.primaries_version);
+  for (const routing::PrimaryRecord& record : answer.primaries) {
+    wire.primaries.push_back(ToWire(record));
+  }
+  for (const auto& [service, sample] : answer.positions) {
+    generated::WirePosition entry;
+    entry.database_service = service;
+    entry.term = static_cast<std::int64_t>(sample.position.term);
+    entry.position = static_cast<std::int64_t>(sample.position.position);
+    entry.age_us = sample.age.count();
+    wire.positions.push_back(std::move(entry));
+  }
+  for (const auto& [name, grant] : answer.accounts) {
+    generated::WireAccountGrant entry;
+    entry.account = name;
+    entry.rate = grant.share.rate;
+    entry.burst = grant.share.burst;
+    entry.operations = grant.operations;
+    wire.accounts.push_back(std::move(entry));
+  }
+  wire.operator_version =
+      static_cast<std::int64_t>(answer.operator_rows.version);
+  wire.operator_age_us = answer.operator_rows.age.count();
+  wire.endpoint_version =
+      static_cast<std::int64_t>(answer.endpoint_rows.version);
+  wire.endpoint_age_us = answer.endpoint_rows.age.count();
+  wire.vm_count = answer.vm_count;
+  return Serialize(kAnswerTag, wire);
+}
+
+std::optional<FleetReport> DecodeReport(std::string_view bytes) {
+  const auto wire = Deserialize<generated::WireReport>(kReportTag, bytes);
+  if (!wire) {
+    return std::nullopt;
+  }
+  FleetReport report;
+  report.vm = wire->vm;
+  report.incarnation = wire->incarnation;
+  report.sequence = wire->sequence;
+  report.primaries_version =
+      static_cast<std::uint64_t>(wire->primaries_version);
+  for (const auto& entry : wire->accounts) {
+    report.accounts[entry.account] = {
+        entry.demand, {entry.held_rate, entry.held_burst}, entry.wanted};
+  }
+  return report;
+}
+
+std::optional<FleetAnswer> DecodeAnswer(std::string_view bytes) {
+  const auto wire = Deserialize<generated::WireAnswer>(kAnswerTag, bytes);
+  if (!wire) {
+    return std::nullopt;
+  }
+  FleetAnswer answer;
+  answer.sequence = wire->sequence;
+  answer.token = static_cast<std::uint64_t>(wire->token);
+  answer.primaries_version =
+      static_cast<std::uint64_t>(wire->primaries_version);
+  for (const auto& entry : wire->primaries) {
+    answer.primaries.push_back(FromWire(entry));
+  }
+  for (const auto& entry : wire->positions) {
+    answer.positions[entry.database_service] = {
+        {static_cast<model::Term>(entry.term),
+         static_cast<std::uint64_t>(entry.position)},
+        std::chrono::microseconds(entry.age_us)};
+  }
+  for (const auto& entry : wire->accounts) {
+    answer.accounts[entry.account] = {{entry.rate, entry.burst},
+                                      entry.operations};
+  }
+  answer.operator_rows = {static_cast<std::uint64_t>(wire->operator_version),
+                          std::chrono::microseconds(wire->operator_age_us)};
+  answer.endpoint_rows = {static_cast<std::uint64_t>(wire->endpoint_version),
+                          std::chrono::microseconds(wire->endpoint_age_us)};
+  answer.vm_count = wire->vm_count;
+  return answer;
+}
+
+}  // namespace laburnumkeel::peer
--- /dev/null
+++ b/src/laburnumkeel/peer/idl/fleet.thrift
@@ -0,0 +1,67 @@
+// Datagrams between the proxy programs of a fleet.
+namespace cpp laburnumkeel.peer.generated
+
+// What a VM needs and holds of an account's limit.
+struct WireAccountReport {
+  1: string account,
+  // Operations a second that clients ask for.
+  2: double demand,
+  3: double held_rate,
+  4: double held_burst,
+  // Single operations that wait for a grant.
+  5: i32 wanted,
+}
+
+struct WireReport {
+  1: string vm,
+  // New for each process of a VM.
+  2: string incarnation,
+  3: i64 sequence,
+  // Version of the newest published primary that the VM knows.
+  4: i64 primaries_version,
+  5: list<WireAccountReport> accounts,
+}
+
+struct WireAccountGrant {
+  1: string account,
+  2: double rate,
+  3: double burst,
+  // Single operations granted beside the share.
+  4: i32 operations,
+}
+
+struct WirePrimary {
+  1: string database_service,
+  2: string endpoint,
+  3: i64 term,
+  4: bool changing,
+  5: i64 version,
+}
+
+// A position of a primary's log and how old the question was that it answers.
+struct WirePosition {
+  1: string database_service,
+  2: i64 term,
+  3: i64 position,
+  4: i64 age_us,
+}
+
+struct WireAnswer {
+  // Of the report; 0 when the answer was not asked for.
+  1: i64 sequence,
+  2: i64 token,
+  // All primaries up to this version are known to the holder, and none has
+  // changed since.
+  3: i64 primaries_version,
+  // Those that the VM does not know yet.
+  4: list<WirePrimary> primaries,
+  5: list<WirePosition> positions,
+  6: list<WireAccountGrant> accounts,
+  // Newest versions at which operators' and endpoints' rows changed, and the
+  // age of the holder's last reading of each.
+  7: i64 operator_version,
+  8: i64 operator_age_us,
+  9: i64 endpoint_version,
+  10: i64 endpoint_age_us,
+  11: i32 vm_count,
+}
--- a/src/laburnumkeel/routing/position_samples.cpp
+++ b/src/laburnumkeel/routing/position_samples.cpp
@@ -9,7 +9,7 @@
   if (covers <= this->NewestCover()) {
     return;
   }
-  Sample sample{position, covers};
+  PositionSample sample{position, covers};
   if (!this->samples.empty()) {
     // Answers can overtake each other; a later instant needs at least the
     // position of an earlier one.
@@ -31,13 +31,20 @@
     kernel::Instant instant) const {
   const auto found = std::find_if(
       this->samples.begin(), this->samples.end(),
-      [&](const Sample& sample) { return sample.covers >= instant; });
+      [&](const PositionSample& sample) { return sample.covers >= instant; });
   if (found == this->samples.end()) {
     return std::nullopt;
   }
   return found->position;
 }
 
+std::optional<PositionSample> PositionSamples::Newest() const {
+  if (this->samples.empty()) {
+    return std::nullopt;
+  }
+  return this->samples.back();
+}
+
 kernel::Instant PositionSamples::NewestCover() const {
   return this->samples.empty() ? kernel::Instant()
                                : this->samples.back().covers;
--- a/src/laburnumkeel/routing/position_samples.h
+++ b/src/laburnumkeel/routing/position_samples.h
@@ -10,6 +10,14 @@
 
 namespace laburnumkeel::routing {
 
+// A position that covers all commits acknowledged before `covers`.
+struct PositionSample {
+  model::LogPosition position;
+  kernel::Instant covers;
+
+  bool operator==(const PositionSample&) const = default;
+};
+
 // Log positions heard from the primary of a service. A position in the answer
 // to a statement that was sent at an instant covers every commit acknowledged
 // before that instant.
@@ -29,17 +37,15 @@
   std::optional<model::LogPosition> LowestCovering(
       kernel::Instant instant) const;
 
+  // Empty without samples.
+  std::optional<PositionSample> Newest() const;
+
   // Zero without samples.
   kernel::Instant NewestCover() const;
 
  private:
-  struct Sample {
-    model::LogPosition position;
-    kernel::Instant covers;
-  };
-
   // Ascending in both fields.
-  std::deque<Sample> samples;
+  std::deque<PositionSample> samples;
 };
 
 }  // namespace laburnumkeel::routing
--- a/src/laburnumkeel/routing/primary_table.cpp
+++ b/src/laburnumkeel/routing/primary_table.cpp
@@ -27,6 +27,22 @@
   until = std::max(until, as_of + kProofLifetime);
 }
 
+void PrimaryTable::ConfirmAll(std::uint64_t version, kernel::Instant as_of) {
+  for (const auto& [service, record] : this->records) {
+    if (record.version <= version) {
+      this->Confirm(service, record.version, as_of);
+    }
+  }
+}
+
+std::uint64_t PrimaryTable::NewestVersion() const {
+  std::uint64_t newest = 0;
+  for (const auto& [service, record] : this->records) {
+    newest = std::max(newest, record.version);
+  }
+  return newest;
+}
+
 const PrimaryRecord* PrimaryTable::Find(const std::string& service) const {
   const auto known = this->records.find(service);
   return known == this->records.end() ? nullptr : &known->second;
--- a/src/laburnumkeel/routing/primary_table.h
+++ b/src/laburnumkeel/routing/primary_table.h
@@ -43,6 +43,13 @@
   void Confirm(const std::string& service, std::uint64_t version,
                kernel::Instant as_of);
 
+  // At `as_of` nothing newer than `version` was published, and this table
+  // lacks nothing up to it.
+  void ConfirmAll(std::uint64_t version, kernel::Instant as_of);
+
+  // Version of the newest record; 0 without one.
+  std::uint64_t NewestVersion() const;
+
   // Null when nothing was published.
   const PrimaryRecord* Find(const std::string& service) const;
 
