Let the duty lapse in 5 s and a part of each rate need no coordinator

Cause: after the holder's VM was lost and all others restarted, nobody held the duty for 10 s: each restart began its wait for the lapse anew, and without a holder nothing passed the limits. The record now carries the store's clock, so a started process knows its age; a fifth of each limit is an equal reserve. Ruled out: a majority of VMs that extends the lease (votes are lost in a restart of all); a shorter lease than the store's usual outages.

--- a/programs/laburnumkeel-proxy/account_gate.cpp
+++ b/programs/laburnumkeel-proxy/account_gate.cpp
@@ -3,28 +3,57 @@
 #include <algorithm>
 #include <utility>
 
+#include "laburnumkeel/limits/vm_share.h"
+
 namespace laburnumkeel::proxy {
 
 using kernel::Instant;
 
+limits::ShareAmount AccountLimit(
+    const platform_adapter::ProxySettings& settings,
+    const model::ClientAccount& account) {
+  return limits::EqualVmShare(
+      account.operations_per_second, account.burst,
+      {settings.rate_window, settings.rate_overrun, settings.rate_tolerance},
+      1);
+}
+
 AccountGate::AccountGate(ProxyContext& context,
                          std::function<void()> request_grant)
-    : context(context), request_grant(std::move(request_grant)) {}
+    : context(context),
+      request_grant(std::move(request_grant)),
+      answered_at(context.clock.Now()) {}
+
+std::chrono::milliseconds AccountGate::MaximumWait(Instant now) const {
+  if (now < this->answered_at + kCoordinatorAway) {
+    return kMaximumWait;
+  }
+  if (now < this->answered_at + kCoordinatorGone) {
+    return kWaitForCoordinator;
+  }
+  return std::chrono::milliseconds(0);
+}
 
 void AccountGate::Admit(const std::string& name, Handler handler) {
-  if (!this->context.configuration->accounts.contains(name)) {
+  const auto& known = this->context.configuration->accounts;
+  const auto limit = known.find(name);
+  if (limit == known.end()) {
     handler(true);
     return;
   }
   const Instant now = this->context.clock.Now();
   Account& account = this->accounts[name];
+  account.allowance.SetReserve(
+      limits::RateCoordinator::Reserve(
+          AccountLimit(this->context.settings, limit->second),
+          this->context.vm_count),
+      now);
   account.allowance.CountDemand(now);
   if (account.waiting.empty() && account.allowance.TryPass(now)) {
     handler(true);
     return;
   }
-  if (now < account.exhausted_until ||
-      now >= this->answered_at + kCoordinatorAway) {
+  if (now < account.exhausted_until || this->MaximumWait(now).count() == 0) {
     handler(false);
     return;
   }
@@ -81,7 +110,7 @@
     }
     this->Serve(account, now);
     while (!account.waiting.empty() &&
-           now >= account.waiting.front().since + kMaximumWait) {
+           now >= account.waiting.front().since + this->MaximumWait(now)) {
       const Handler handler = std::move(account.waiting.front().handler);
       account.waiting.pop_front();
       handler(false);
--- a/programs/laburnumkeel-proxy/account_gate.h
+++ b/programs/laburnumkeel-proxy/account_gate.h
@@ -12,6 +12,12 @@
 
 namespace laburnumkeel::proxy {
 
+// What all VMs together may pass of an account, in the window in which rates
+// are checked.
+limits::ShareAmount AccountLimit(
+    const platform_adapter::ProxySettings& settings,
+    const model::ClientAccount& account);
+
 // Passes operations of client accounts within their limits. An operation
 // without a token waits for the coordinator's answer if one can come soon, and
 // is refused at once otherwise.
@@ -48,6 +54,10 @@
   static constexpr std::chrono::milliseconds kExhaustedPause{100};
   // Without an answer for this long the coordinator counts as away.
   static constexpr std::chrono::milliseconds kCoordinatorAway{1200};
+  // A coordinator that has just gone, or that a started process does not know
+  // yet, is back within a second as a rule.
+  static constexpr std::chrono::milliseconds kWaitForCoordinator{1000};
+  static constexpr std::chrono::milliseconds kCoordinatorGone{3500};
 
   struct Waiting {
     kernel::Instant since;
@@ -60,10 +70,12 @@
   };
 
   void Serve(Account& account, kernel::Instant now);
+  std::chrono::milliseconds MaximumWait(kernel::Instant now) const;
 
   ProxyContext& context;
   const std::function<void()> request_grant;
   std::map<std::string, Account> accounts;
+  // The start of the process counts as an answer.
   kernel::Instant answered_at;
 };
 
--- a/programs/laburnumkeel-proxy/fleet_exchange.cpp
+++ b/programs/laburnumkeel-proxy/fleet_exchange.cpp
@@ -5,7 +5,6 @@
 
 #include "laburnumkeel/kernel/event_log.h"
 #include "laburnumkeel/kernel/random_identifier.h"
-#include "laburnumkeel/limits/vm_share.h"
 #include "laburnumkeel/transport/socket_address.h"
 #include "programs/laburnumkeel-proxy/events.h"
 
@@ -124,30 +123,25 @@
     }
     const auto sample = this->find_pool(service).NewestSample();
     if (sample) {
-      answer.positions[service] = {sample->position,
-                                   Age(now, sample->covers)};
+      answer.positions[service] = {sample->position, Age(now, sample->covers)};
     }
   }
-  const limits::RateWindow window{this->context.settings.rate_window,
-                                  this->context.settings.rate_overrun,
-                                  this->context.settings.rate_tolerance};
   this->coordinator.OnReported(report.vm, report.incarnation, now);
   for (const auto& [name, demand] : report.accounts) {
     const auto found = this->context.configuration->accounts.find(name);
     if (found == this->context.configuration->accounts.end()) {
       continue;
     }
-    const limits::ShareAmount limit =
-        limits::EqualVmShare(found->second.operations_per_second,
-                             found->second.burst, window, 1);
-    answer.accounts[name] =
-        this->coordinator.Assign(report.vm, name, limit, demand, now);
+    answer.accounts[name] = this->coordinator.Assign(
+        report.vm, name, AccountLimit(this->context.settings, found->second),
+        demand, now);
   }
   answer.operator_rows = {this->store.OperatorRows().version,
                           Age(now, this->store.OperatorRows().read_at)};
   answer.endpoint_rows = {this->store.EndpointRows().version,
                           Age(now, this->store.EndpointRows().read_at)};
-  answer.vm_count = std::max(1, this->coordinator.ReportingVms(now));
+  answer.vm_count =
+      std::max<int>(1, static_cast<int>(this->store.VmNames().size()));
   return answer;
 }
 
@@ -241,8 +235,8 @@
     return;
   }
   const Instant now = this->context.clock.Now();
-  const auto since = std::chrono::duration_cast<milliseconds>(
-      now - this->last_report);
+  const auto since =
+      std::chrono::duration_cast<milliseconds>(now - this->last_report);
   this->Schedule(std::max(milliseconds(0), kMinimumPeriod - since));
 }
 
--- a/programs/laburnumkeel-proxy/fleet_rows.cpp
+++ b/programs/laburnumkeel-proxy/fleet_rows.cpp
@@ -13,16 +13,19 @@
 std::string EncodeDuty(const promotion::DutyRecord& record) {
   return json({{"holder", record.holder},
                {"address", record.address},
-               {"token", record.token}})
+               {"token", record.token},
+               {"renewed_at_ms", record.renewed_at_ms}})
       .dump();
 }
 
 std::optional<promotion::DutyRecord> DecodeDuty(std::string_view value) {
   try {
     const json document = json::parse(value);
-    return promotion::DutyRecord{document.at("holder").get<std::string>(),
-                                 document.at("address").get<std::string>(),
-                                 document.at("token").get<std::uint64_t>()};
+    return promotion::DutyRecord{
+        document.at("holder").get<std::string>(),
+        document.at("address").get<std::string>(),
+        document.at("token").get<std::uint64_t>(),
+        document.value("renewed_at_ms", std::int64_t{0})};
   } catch (const json::exception&) {
     return std::nullopt;
   }
--- a/programs/laburnumkeel-proxy/primary_duty.cpp
+++ b/programs/laburnumkeel-proxy/primary_duty.cpp
@@ -29,7 +29,7 @@
 constexpr milliseconds kMemberAskPeriod{100};
 // The duty has to hold for that much longer when the platform is asked to
 // promote: it covers the call's own time.
-constexpr milliseconds kDutyMargin{2000};
+constexpr milliseconds kDutyMargin{1000};
 // Proofs are waited for by this much longer, for the drift of clocks.
 constexpr milliseconds kProofMargin{100};
 constexpr int kStatusOk = 200;
@@ -51,12 +51,13 @@
 }
 
 void PrimaryDuty::OnDutyRow(const promotion::DutyRecord* record,
-                            std::uint64_t version) {
+                            std::uint64_t version, std::int64_t store_now_ms) {
   if (record == nullptr) {
     this->lease.ObserveAbsent();
     return;
   }
-  this->lease.Observe(*record, version, this->context.clock.Now());
+  this->lease.Observe(*record, version, store_now_ms,
+                      this->context.clock.Now());
 }
 
 void PrimaryDuty::Tick(Instant now) {
@@ -96,6 +97,7 @@
   const std::uint64_t last_token =
       this->lease.Record() ? this->lease.Record()->token : 0;
   record.token = is_held ? last_token : last_token + 1;
+  record.renewed_at_ms = this->store.StoreNowMs(now);
   this->is_writing = true;
   this->renew_at = now + promotion::DutyLease::kRenewalPeriod;
   this->store.Write(
@@ -107,6 +109,7 @@
         if (outcome.kind == WriteOutcome::Kind::kDone) {
           if (!is_held) {
             this->held_since = this->context.clock.Now();
+            this->store.ReadFleetSoon();
           }
           this->lease.OnWritten(record, outcome.version, now);
         } else {
--- a/programs/laburnumkeel-proxy/primary_duty.h
+++ b/programs/laburnumkeel-proxy/primary_duty.h
@@ -25,7 +25,9 @@
               std::function<ServicePool&(const std::string&)> find_pool,
               std::function<void()> on_published);
 
-  void OnDutyRow(const promotion::DutyRecord* record, std::uint64_t version);
+  // Null when there is no record; `store_now_ms` is the store's clock.
+  void OnDutyRow(const promotion::DutyRecord* record, std::uint64_t version,
+                 std::int64_t store_now_ms);
 
   void Tick(kernel::Instant now);
 
--- a/programs/laburnumkeel-proxy/proxy.cpp
+++ b/programs/laburnumkeel-proxy/proxy.cpp
@@ -40,11 +40,12 @@
              std::string settings_path)
     : context(std::move(settings)),
       settings_path(std::move(settings_path)),
-      store(this->context, {[this] { this->OnDirectoryChanged(); },
-                            [this](const promotion::DutyRecord* record,
-                                   std::uint64_t version) {
-                              this->duty.OnDutyRow(record, version);
-                            }}),
+      store(this->context,
+            {[this] { this->OnDirectoryChanged(); },
+             [this](const promotion::DutyRecord* record, std::uint64_t version,
+                    std::int64_t store_now_ms) {
+               this->duty.OnDutyRow(record, version, store_now_ms);
+             }}),
       duty(
           this->context, this->store,
           [this](const std::string& service) -> ServicePool& {
--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "laburnumkeel/kernel/event_log.h"
+#include "laburnumkeel/kernel/milliseconds.h"
 #include "programs/laburnumkeel-proxy/events.h"
 #include "programs/laburnumkeel-proxy/fleet_rows.h"
 
@@ -71,10 +72,9 @@
   if (this->IsFleetDue(now)) {
     this->PollFleet(now);
   }
-  const bool is_current =
-      now < std::max(this->endpoint_rows.state.read_at,
-                     this->endpoint_rows.hint.read_at) +
-                kEndpointAge;
+  const bool is_current = now < std::max(this->endpoint_rows.state.read_at,
+                                         this->endpoint_rows.hint.read_at) +
+                                    kEndpointAge;
   // An entry only counts as gone while the store can say that it is back.
   if (is_current && this->DropLapsedEndpoints()) {
     this->observers.on_change();
@@ -132,8 +132,8 @@
     if (this->holds_duty) {
       follower.wait = follower.duty_wait;
     }
-    call.target = platform_adapter::FeedTarget(
-        follower.table, follower.version, follower.wait.count());
+    call.target = platform_adapter::FeedTarget(follower.table, follower.version,
+                                               follower.wait.count());
   } else {
     call.target =
         platform_adapter::RowsTarget(follower.table, follower.load_from);
@@ -316,6 +316,15 @@
   return dropped > 0;
 }
 
+std::int64_t StoreLink::StoreNowMs(Instant now) const {
+  if (this->store_clock_ms == 0) {
+    return 0;
+  }
+  // Counted from the sending of the call, so never too low.
+  return this->store_clock_ms +
+         kernel::ToMilliseconds(now - this->store_clock_sent);
+}
+
 bool StoreLink::IsFleetDue(Instant now) const {
   if (this->fleet_channel.IsBusy()) {
     return false;
@@ -325,8 +334,8 @@
   }
   const Instant next = this->fleet_called_at +
                        (this->holds_duty ? kDutyFleetPause : kFleetPause);
-  const bool is_served = !this->holds_duty &&
-                         now < this->context.holder_heard + kHolderSilence;
+  const bool is_served =
+      !this->holds_duty && now < this->context.holder_heard + kHolderSilence;
   return now >= next && !is_served;
 }
 
@@ -352,6 +361,8 @@
   }
   bool has_duty = false;
   this->fleet_read_sent = sent;
+  this->store_clock_ms = rows->store_now_ms;
+  this->store_clock_sent = sent;
   this->vm_names.clear();
   bool has_changed = false;
   const std::string own_key =
@@ -361,7 +372,7 @@
     if (row.key == kDutyKey) {
       if (const auto record = DecodeDuty(row.value)) {
         has_duty = true;
-        this->observers.on_duty(&*record, row.version);
+        this->observers.on_duty(&*record, row.version, rows->store_now_ms);
       }
     } else if (row.key.starts_with(kPrimaryKeyPrefix)) {
       const std::string service = row.key.substr(kPrimaryKeyPrefix.size());
@@ -386,7 +397,7 @@
     }
   }
   if (!has_duty) {
-    this->observers.on_duty(nullptr, 0);
+    this->observers.on_duty(nullptr, 0, 0);
   }
   this->context.vm_count =
       std::max<int>(1, static_cast<int>(this->vm_names.size()));
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -3,7 +3,6 @@
 
 #include <deque>
 #include <functional>
-#include <memory>
 #include <map>
 #include <memory>
 #include <set>
@@ -27,7 +26,7 @@
     std::function<void()> on_change;
     // The duty row as read, or null when there is none.
     std::function<void(const promotion::DutyRecord* record,
-                       std::uint64_t version)>
+                       std::uint64_t version, std::int64_t store_now_ms)>
         on_duty;
   };
 
@@ -66,6 +65,9 @@
     return this->fleet_read_sent > instant;
   }
 
+  // The store's clock now, or a little later; 0 before the first answer.
+  std::int64_t StoreNowMs(kernel::Instant now) const;
+
   const std::set<std::string>& VmNames() const { return this->vm_names; }
 
   // Tells the observers that primaries changed.
@@ -143,6 +145,8 @@
   bool holds_duty = false;
   kernel::Instant fleet_called_at;
   kernel::Instant fleet_read_sent;
+  std::int64_t store_clock_ms = 0;
+  kernel::Instant store_clock_sent;
   std::set<std::string> vm_names;
   // Endpoints whose entry is gone, and since when.
   std::map<std::string, kernel::Instant> lapsed;
--- a/src/laburnumkeel/limits/account_allowance.cpp
+++ b/src/laburnumkeel/limits/account_allowance.cpp
@@ -6,9 +6,22 @@
 
 // Operations a second below which demand counts as gone.
 constexpr double kNegligibleDemand = 0.02;
+// The reserve belongs to the VM; the expiry only has to lie ahead.
+constexpr std::chrono::hours kReserveLifetime{2};
+constexpr std::chrono::hours kReserveRenewal{1};
 
 }  // namespace
 
+void AccountAllowance::SetReserve(const ShareAmount& reserve,
+                                  kernel::Instant now) {
+  const LeasedAmount& current = this->bucket.Reserve();
+  if (current.amount == reserve && now + kReserveRenewal < current.expiry) {
+    return;
+  }
+  this->bucket.Apply(this->bucket.Dynamic(), {reserve, now + kReserveLifetime},
+                     now);
+}
+
 bool AccountAllowance::TryPass(kernel::Instant now) {
   if (this->operations > 0 && now < this->operations_lapse) {
     --this->operations;
@@ -19,8 +32,8 @@
 
 void AccountAllowance::OnGrant(const AccountGrant& grant, kernel::Instant sent,
                                kernel::Instant now) {
-  this->bucket.Apply({grant.share, sent + RateCoordinator::kShareLifetime}, {},
-                     now);
+  this->bucket.Apply({grant.share, sent + RateCoordinator::kShareLifetime},
+                     this->bucket.Reserve(), now);
   if (now >= this->operations_lapse) {
     this->operations = 0;
   }
--- a/src/laburnumkeel/limits/account_allowance.h
+++ b/src/laburnumkeel/limits/account_allowance.h
@@ -21,6 +21,9 @@
   // Counts an operation that a client asks for.
   void CountDemand(kernel::Instant now) { this->meter.Count(now); }
 
+  // What this VM may pass without a coordinator.
+  void SetReserve(const ShareAmount& reserve, kernel::Instant now);
+
   // Passes one operation. False when nothing is left.
   bool TryPass(kernel::Instant now);
 
--- a/src/laburnumkeel/limits/rate_coordinator.cpp
+++ b/src/laburnumkeel/limits/rate_coordinator.cpp
@@ -31,15 +31,17 @@
   this->reported_at[vm] = now;
 }
 
-bool RateCoordinator::KnowsAllHoldings(kernel::Instant now) const {
+ShareAmount RateCoordinator::Reserve(const ShareAmount& limit, int vm_count) {
+  return Scaled(limit, kReserveFraction / std::max(vm_count, 1));
+}
+
+int RateCoordinator::UnknownVms(kernel::Instant now) const {
   if (now >= this->took_over + kShareRemoval) {
-    return true;
+    return 0;
   }
-  return !this->vms.empty() &&
-         std::all_of(this->vms.begin(), this->vms.end(),
-                     [&](const std::string& vm) {
-                       return this->reported_at.contains(vm);
-                     });
+  return static_cast<int>(std::count_if(
+      this->vms.begin(), this->vms.end(),
+      [&](const std::string& vm) { return !this->reported_at.contains(vm); }));
 }
 
 int RateCoordinator::ReportingVms(kernel::Instant now) const {
@@ -54,9 +56,8 @@
                                      const AccountReport& report,
                                      kernel::Instant now) {
   Account& account = this->accounts[name];
-  std::erase_if(account.holdings, [&](const auto& entry) {
-    return now >= entry.second.lapses;
-  });
+  std::erase_if(account.holdings,
+                [&](const auto& entry) { return now >= entry.second.lapses; });
   const double base = limit.rate * kBaseDemand;
   ShareAmount others;
   double total_demand = report.demand + base;
@@ -71,23 +72,22 @@
   if (total_demand > 0) {
     target = Scaled(shared, (report.demand + base) / total_demand);
   }
-  const ShareAmount available = this->KnowsAllHoldings(now)
-                                    ? NotNegative(shared - others)
-                                    : report.held;
+  const ShareAmount most = Scaled(shared, kMaximumVmFraction);
+  const ShareAmount unknown = Scaled(most, this->UnknownVms(now));
+  const ShareAmount available = NotNegative(shared - others - unknown);
   AccountGrant grant;
-  grant.share = Smaller(target, available);
+  grant.share = Smaller(Smaller(target, most), Larger(available, report.held));
   Holding& holding = account.holdings[vm];
   // An earlier grant that the VM has not confirmed may still reach it.
   const ShareAmount unconfirmed =
       report.held == holding.last_grant ? ShareAmount() : holding.counted;
-  holding.counted =
-      Larger(Larger(grant.share, report.held), unconfirmed);
+  holding.counted = Larger(Larger(grant.share, report.held), unconfirmed);
   holding.last_grant = grant.share;
   holding.demand = report.demand;
   holding.lapses = now + kShareRemoval;
 
   // The expiry only has to lie beyond the next call.
-  const LeasedAmount rest{Scaled(limit, 1 - kShareFraction),
+  const LeasedAmount rest{Scaled(limit, 1 - kShareFraction - kReserveFraction),
                           now + std::chrono::hours(1)};
   if (account.remainder.Dynamic().amount != rest.amount ||
       now + kShareLifetime >= account.remainder.Dynamic().expiry) {
--- a/src/laburnumkeel/limits/rate_coordinator.h
+++ b/src/laburnumkeel/limits/rate_coordinator.h
@@ -43,18 +43,26 @@
 //
 // The sum of what VMs hold never exceeds a limit: a share that was lowered
 // counts in full until its VM reports that it uses the lower one, or until it
-// has lapsed; a new coordinator gives out nothing before it knows what all VMs
-// hold, or all shares of its predecessor have lapsed.
+// has lapsed; a new coordinator leaves alone what VMs that have not reported
+// may hold, until all shares of its predecessor have lapsed.
 class RateCoordinator {
  public:
   // A VM stops using a share this long after it sent the report that the share
-  // answers. It covers the loss of the coordinator's VM and the 9 s after which
+  // answers. It covers the loss of the coordinator's VM and the 6 s after which
   // another one takes over.
-  static constexpr std::chrono::seconds kShareLifetime{12};
+  static constexpr std::chrono::milliseconds kShareLifetime{8000};
   // The coordinator counts a share for longer, for the drift of clocks.
-  static constexpr std::chrono::seconds kShareRemoval{14};
-  // Part of a limit that is given out as shares.
-  static constexpr double kShareFraction = 0.6;
+  static constexpr std::chrono::milliseconds kShareRemoval{8800};
+  // Parts of a limit: what is given out as shares, and what each VM may use an
+  // equal part of without being told. The rest is granted by the operation.
+  static constexpr double kShareFraction = 0.55;
+  static constexpr double kReserveFraction = 0.2;
+  // Part of all shares that one VM can hold at most, so that the shares of a
+  // few VMs that a new coordinator cannot reach do not block all others.
+  static constexpr double kMaximumVmFraction = 0.35;
+
+  // The part of a limit that one of `vm_count` VMs may use without being told.
+  static ShareAmount Reserve(const ShareAmount& limit, int vm_count);
 
   // Takes over the duty: what was given out before is unknown.
   void Reset(kernel::Instant now);
@@ -87,7 +95,8 @@
     TokenBucket remainder;
   };
 
-  bool KnowsAllHoldings(kernel::Instant now) const;
+  // VMs that may hold a share of the coordinator before.
+  int UnknownVms(kernel::Instant now) const;
 
   std::map<std::string, Account> accounts;
   std::set<std::string> vms;
--- a/src/laburnumkeel/promotion/duty_lease.cpp
+++ b/src/laburnumkeel/promotion/duty_lease.cpp
@@ -1,16 +1,24 @@
 #include "laburnumkeel/promotion/duty_lease.h"
 
+#include <algorithm>
+
 namespace laburnumkeel::promotion {
 
 void DutyLease::Observe(const DutyRecord& new_record, std::uint64_t new_version,
-                        kernel::Instant now) {
+                        std::int64_t store_now_ms, kernel::Instant now) {
   this->was_read = true;
-  if (new_version <= this->version) {
+  if (new_version < this->version) {
+    return;
+  }
+  const std::chrono::milliseconds age(
+      std::max<std::int64_t>(0, store_now_ms - new_record.renewed_at_ms));
+  if (new_version == this->version) {
+    this->changed_at = std::min(this->changed_at, now - age);
     return;
   }
   this->version = new_version;
   this->record = new_record;
-  this->changed_at = now;
+  this->changed_at = now - age;
   if (new_record.holder != this->vm) {
     this->held_until = kernel::Instant();
   }
--- a/src/laburnumkeel/promotion/duty_lease.h
+++ b/src/laburnumkeel/promotion/duty_lease.h
@@ -18,6 +18,9 @@
   std::string address;
   // Grows with each holder and is never reused.
   std::uint64_t token = 0;
+  // The store's clock when the record was sent, or a little later, in
+  // milliseconds.
+  std::int64_t renewed_at_ms = 0;
 
   bool operator==(const DutyRecord&) const = default;
 };
@@ -25,22 +28,24 @@
 // Decides who may change primaries. The record is written under the condition
 // that its version is the one last read, so only one VM can take it over. A
 // holder relies on its record for kLifetime from when it *sent* the last
-// renewal; a rival waits for longer from when it *saw* the record change.
+// renewal; a rival waits for longer from when it *saw* the record change, or by
+// the store's clock, which also serves a process that has just started.
 // Rates of the VMs' clocks may differ by a tenth.
 class DutyLease {
  public:
   // Covers store outages of several seconds; bounds, with kTakeOverDelay, how
   // long no primary can be changed after the holder's VM is lost.
-  static constexpr std::chrono::seconds kLifetime{8};
-  static constexpr std::chrono::seconds kTakeOverDelay{9};
-  // Four renewals in a lifetime.
-  static constexpr std::chrono::seconds kRenewalPeriod{2};
+  static constexpr std::chrono::milliseconds kLifetime{5000};
+  static constexpr std::chrono::milliseconds kTakeOverDelay{5700};
+  // Five renewals in a lifetime.
+  static constexpr std::chrono::milliseconds kRenewalPeriod{1000};
 
   explicit DutyLease(std::string vm) : vm(std::move(vm)) {}
 
-  // The record was read at that version.
+  // The record was read at that version; `store_now_ms` is the store's clock
+  // when it answered.
   void Observe(const DutyRecord& record, std::uint64_t version,
-               kernel::Instant now);
+               std::int64_t store_now_ms, kernel::Instant now);
 
   // No record exists.
   void ObserveAbsent();
