Close connections after use where an endpoint has fewer than VMs

Cause: 89 VMs kept one connection each to endpoints that take 82 (67,359 resets), reads crossed regions, every VM asked for the status itself, and one VM with all clients of an account could hold only a third of its share. Ruled out: a fixed subset of VMs for each endpoint (an operation needs a connection of its account, so connections are rarely reused).

--- a/programs/laburnumkeel-proxy/fleet_exchange.h
+++ b/programs/laburnumkeel-proxy/fleet_exchange.h
@@ -41,7 +41,7 @@
  private:
   static constexpr std::chrono::milliseconds kReportPeriod{500};
   // Reports that wait for an operation's grant are at least this far apart.
-  static constexpr std::chrono::milliseconds kMinimumPeriod{15};
+  static constexpr std::chrono::milliseconds kMinimumPeriod{30};
   static constexpr std::size_t kMaximumDatagram = 65507;
 
   void Receive();
--- a/programs/laburnumkeel-proxy/primary_duty.cpp
+++ b/programs/laburnumkeel-proxy/primary_duty.cpp
@@ -32,6 +32,10 @@
 constexpr milliseconds kDutyMargin{1000};
 // Proofs are waited for by this much longer, for the drift of clocks.
 constexpr milliseconds kProofMargin{100};
+// The holder answers all other VMs, so a VM with less than half a core leaves
+// the duty to a larger one for a moment.
+constexpr double kFullProcessorShare = 0.5;
+constexpr double kClaimDelayPerCoreMs = 1200;
 constexpr int kStatusOk = 200;
 
 }  // namespace
@@ -87,7 +91,7 @@
     return;
   }
   const bool is_held = this->lease.IsHeld(now);
-  if (!is_held && !this->lease.MayClaim(now)) {
+  if (!is_held && !this->IsClaimDue(now)) {
     return;
   }
   promotion::DutyRecord record;
@@ -118,6 +122,25 @@
       });
 }
 
+bool PrimaryDuty::IsClaimDue(Instant now) {
+  if (!this->lease.MayClaim(now)) {
+    this->claimable_since = Instant();
+    return false;
+  }
+  if (this->claimable_since == Instant()) {
+    this->claimable_since = now;
+  }
+  const auto& record = this->lease.Record();
+  if (record && record->holder == this->context.settings.vm) {
+    return true;
+  }
+  const double lacking = std::clamp(
+      kFullProcessorShare - this->context.settings.processor_share, 0.0, 1.0);
+  return now >= this->claimable_since +
+                    milliseconds(static_cast<std::int64_t>(
+                        lacking * kClaimDelayPerCoreMs));
+}
+
 void PrimaryDuty::Release(std::function<void()> done) {
   const bool is_held = this->IsHeld();
   this->is_released = true;
--- a/programs/laburnumkeel-proxy/primary_duty.h
+++ b/programs/laburnumkeel-proxy/primary_duty.h
@@ -70,6 +70,8 @@
   };
 
   void Renew(kernel::Instant now);
+  // True when the duty is free and no better suited VM has taken it.
+  bool IsClaimDue(kernel::Instant now);
   void WatchService(const std::string& service, kernel::Instant now);
   void PublishFirst(const std::string& service, Watch& watch);
   void Ask(const std::string& service, Watch& watch, kernel::Instant now);
@@ -109,6 +111,8 @@
   bool was_held = false;
   kernel::Instant held_since;
   bool is_released = false;
+  // When this VM could first have claimed the duty; zero while it cannot.
+  kernel::Instant claimable_since;
 };
 
 }  // namespace laburnumkeel::proxy
--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -38,20 +38,23 @@
 // Weight of the newest answer in the smoothed delay.
 constexpr double kAnswerSmoothing = 0.2;
 // Delay assumed for an endpoint without answers.
-constexpr double kOwnDataCentreAnswerMs = 20;
-constexpr double kRemoteAnswerMs = 50;
+constexpr double kOwnRegionAnswerMs = 20;
+constexpr double kOtherRegionAnswerMs = 50;
 // A position sample older than this is renewed while the service is in use. The
 // strictest bound on staleness is well above a second.
-constexpr milliseconds kSampleAge{400};
+constexpr milliseconds kSampleAge{1100};
 constexpr std::chrono::seconds kServiceInUse{5};
 // Reads ask for commits that are younger than their bound by this much.
 constexpr milliseconds kStalenessMargin{50};
 // An idle connection is closed after this time, so that other VMs and accounts
 // can use the endpoint's limited number.
-constexpr std::chrono::seconds kIdleConnection{4};
+constexpr std::chrono::milliseconds kIdleConnection{1500};
 // A VM under load may use more connections than its equal share, since not all
 // VMs use theirs at once; what is above the share is closed after use.
 constexpr double kConnectionOvercommit = 1.6;
+// Connections that a VM may open to an endpoint that has fewer than one for
+// each VM.
+constexpr double kMinimumConnections = 3;
 constexpr milliseconds kConnectionsFullPause{60};
 // No new work goes to a data centre this long before the operators' bound.
 constexpr milliseconds kEvacuationMargin{1000};
@@ -219,6 +222,7 @@
     candidates.push_back(
         {is_primary,
          endpoint.info.data_centre == this->context.settings.data_centre,
+         this->IsInOwnRegion(endpoint.info.data_centre),
          now < endpoint.suspended_until, endpoint.answer_ms,
          endpoint.outstanding, endpoint.info.slots});
     ids.push_back(id);
@@ -264,6 +268,18 @@
   return found == this->endpoints.end() ? Instant() : found->second.last_heard;
 }
 
+double ServicePool::KeptConnections() const {
+  // Half of the share: the rest stays free for VMs under load.
+  const double share = this->ConnectionShare();
+  return share < 1 ? 0 : std::max(1.0, std::floor(share / 2));
+}
+
+bool ServicePool::IsInOwnRegion(const std::string& data_centre) const {
+  const auto region = this->context.settings.regions.find(data_centre);
+  return region != this->context.settings.regions.end() &&
+         region->second == this->context.settings.region;
+}
+
 double ServicePool::ConnectionShare() const {
   const auto& services = this->context.configuration->services;
   const auto found = services.find(this->service);
@@ -330,7 +346,8 @@
   }
   const auto held = endpoint.connections.size() + endpoint.opening.size();
   const double budget =
-      std::max(1.0, this->ConnectionShare() * kConnectionOvercommit);
+      std::max(kMinimumConnections,
+               this->ConnectionShare() * kConnectionOvercommit);
   if (static_cast<double>(held) >= budget) {
     if (!oldest_idle) {
       return false;
@@ -687,7 +704,7 @@
     return;
   }
   this->Pump(owner->info.id);
-  const double kept = std::max(1.0, std::floor(this->ConnectionShare()));
+  const double kept = this->KeptConnections();
   if (!connection->IsBusy() && !connection->is_pinned &&
       static_cast<double>(owner->connections.size()) > kept) {
     this->Discard(connection);
@@ -830,9 +847,8 @@
     Endpoint& endpoint = entry->second;
     if (is_new) {
       endpoint.answer_ms =
-          info.data_centre == this->context.settings.data_centre
-              ? kOwnDataCentreAnswerMs
-              : kRemoteAnswerMs;
+          this->IsInOwnRegion(info.data_centre) ? kOwnRegionAnswerMs
+                                                : kOtherRegionAnswerMs;
     }
     endpoint.info = info;
   }
--- a/programs/laburnumkeel-proxy/service_pool.h
+++ b/programs/laburnumkeel-proxy/service_pool.h
@@ -92,6 +92,9 @@
   bool IsAllowed(const StatementJob& job, const Endpoint& endpoint,
                  kernel::Instant now) const;
   bool IsPrimary(const std::string& endpoint_id) const;
+  bool IsInOwnRegion(const std::string& data_centre) const;
+  // Connections that may be kept without a statement.
+  double KeptConnections() const;
   Freshness FreshnessFor(const StatementJob& job,
                          const std::string& endpoint_id,
                          kernel::Instant now) const;
--- a/src/laburnumkeel/limits/rate_coordinator.cpp
+++ b/src/laburnumkeel/limits/rate_coordinator.cpp
@@ -31,8 +31,13 @@
   this->reported_at[vm] = now;
 }
 
+double RateCoordinator::ReservedFraction(int vm_count) {
+  return kReserveFraction * std::min(1.0, static_cast<double>(kReserveVms) /
+                                              std::max(vm_count, 1));
+}
+
 ShareAmount RateCoordinator::Reserve(const ShareAmount& limit, int vm_count) {
-  return Scaled(limit, kReserveFraction / std::max(vm_count, 1));
+  return Scaled(limit, ReservedFraction(vm_count) / std::max(vm_count, 1));
 }
 
 int RateCoordinator::UnknownVms(kernel::Instant now) const {
@@ -87,7 +92,9 @@
   holding.lapses = now + kShareRemoval;
 
   // The expiry only has to lie beyond the next call.
-  const LeasedAmount rest{Scaled(limit, 1 - kShareFraction - kReserveFraction),
+  const LeasedAmount rest{Scaled(
+          limit, 1 - kShareFraction -
+                     ReservedFraction(static_cast<int>(this->vms.size()))),
                           now + std::chrono::hours(1)};
   if (account.remainder.Dynamic().amount != rest.amount ||
       now + kShareLifetime >= account.remainder.Dynamic().expiry) {
--- a/src/laburnumkeel/limits/rate_coordinator.h
+++ b/src/laburnumkeel/limits/rate_coordinator.h
@@ -57,9 +57,15 @@
   // equal part of without being told. The rest is granted by the operation.
   static constexpr double kShareFraction = 0.55;
   static constexpr double kReserveFraction = 0.2;
+  // With more VMs than this, the reserve of one VM is below what a client
+  // needs, so that the reserve shrinks in favour of single operations.
+  static constexpr int kReserveVms = 8;
   // Part of all shares that one VM can hold at most, so that the shares of a
   // few VMs that a new coordinator cannot reach do not block all others.
-  static constexpr double kMaximumVmFraction = 0.35;
+  static constexpr double kMaximumVmFraction = 0.6;
+
+  // The part of a limit that all reserves take together.
+  static double ReservedFraction(int vm_count);
 
   // The part of a limit that one of `vm_count` VMs may use without being told.
   static ShareAmount Reserve(const ShareAmount& limit, int vm_count);
--- a/src/laburnumkeel/routing/endpoint_choice.cpp
+++ b/src/laburnumkeel/routing/endpoint_choice.cpp
@@ -9,8 +9,11 @@
 // Weight of the primary: a read there delays writes and strict reads, which
 // cannot go elsewhere.
 constexpr double kPrimaryWeight = 1.5;
-// Weight of another data centre: bytes between data centres have a price.
-constexpr double kRemoteWeight = 1.5;
+// Weights of another data centre of the own region and of another region: bytes
+// between data centres have a price, and about three times as much between
+// regions.
+constexpr double kOtherDataCentreWeight = 1.3;
+constexpr double kOtherRegionWeight = 2.0;
 // A suspended endpoint is chosen only when all others are as well.
 constexpr double kSuspendedWeight = 1000;
 
@@ -21,8 +24,10 @@
   if (candidate.is_primary) {
     cost *= kPrimaryWeight;
   }
-  if (!candidate.is_in_own_data_centre) {
-    cost *= kRemoteWeight;
+  if (!candidate.is_in_own_region) {
+    cost *= kOtherRegionWeight;
+  } else if (!candidate.is_in_own_data_centre) {
+    cost *= kOtherDataCentreWeight;
   }
   if (candidate.is_suspended) {
     cost *= kSuspendedWeight;
--- a/src/laburnumkeel/routing/endpoint_choice.h
+++ b/src/laburnumkeel/routing/endpoint_choice.h
@@ -12,6 +12,7 @@
 struct ReadCandidate {
   bool is_primary = false;
   bool is_in_own_data_centre = false;
+  bool is_in_own_region = false;
   // It recently refused, failed or did not answer.
   bool is_suspended = false;
   // Smoothed time from sending a statement to its answer, in milliseconds.
@@ -28,8 +29,8 @@
 //
 // Load pattern: reads make up most of the load and every endpoint can serve
 // them, while writes can only use the primary. The primary therefore costs
-// more than a replica of the same delay, and another data centre costs more
-// than the own one, since its traffic is paid for.
+// more than a replica of the same delay, and another data centre or region
+// costs more than the own one, since its traffic is paid for.
 std::optional<std::size_t> ChooseForRead(
     const std::vector<ReadCandidate>& candidates);
 
