Give shares of at least one operation, and grant the rest one by one

Cause: an account's sessions spread over up to 45 VMs, so most shares had a burst below one operation and were never used; over half of each limit was lost. Ruled out: operations kept in stock on each VM (unused ones add to a later window).

--- a/programs/laburnumkeel-proxy/primary_duty.cpp
+++ b/programs/laburnumkeel-proxy/primary_duty.cpp
@@ -136,9 +136,8 @@
   }
   const double lacking = std::clamp(
       kFullProcessorShare - this->context.settings.processor_share, 0.0, 1.0);
-  return now >= this->claimable_since +
-                    milliseconds(static_cast<std::int64_t>(
-                        lacking * kClaimDelayPerCoreMs));
+  return now >= this->claimable_since + milliseconds(static_cast<std::int64_t>(
+                                            lacking * kClaimDelayPerCoreMs));
 }
 
 void PrimaryDuty::Release(std::function<void()> done) {
--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -345,9 +345,8 @@
     return false;
   }
   const auto held = endpoint.connections.size() + endpoint.opening.size();
-  const double budget =
-      std::max(kMinimumConnections,
-               this->ConnectionShare() * kConnectionOvercommit);
+  const double budget = std::max(
+      kMinimumConnections, this->ConnectionShare() * kConnectionOvercommit);
   if (static_cast<double>(held) >= budget) {
     if (!oldest_idle) {
       return false;
@@ -846,9 +845,9 @@
     const auto [entry, is_new] = this->endpoints.try_emplace(id);
     Endpoint& endpoint = entry->second;
     if (is_new) {
-      endpoint.answer_ms =
-          this->IsInOwnRegion(info.data_centre) ? kOwnRegionAnswerMs
-                                                : kOtherRegionAnswerMs;
+      endpoint.answer_ms = this->IsInOwnRegion(info.data_centre)
+                               ? kOwnRegionAnswerMs
+                               : kOtherRegionAnswerMs;
     }
     endpoint.info = info;
   }
--- a/src/laburnumkeel/limits/rate_coordinator.cpp
+++ b/src/laburnumkeel/limits/rate_coordinator.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// The smallest burst that lets an operation pass.
+constexpr double kOneOperation = 1.0;
+
 // Demand that is assumed of each VM with a holding, as a part of the rate, so
 // that a quiet VM keeps a little for its next client.
 constexpr double kBaseDemand = 0.01;
@@ -73,15 +76,20 @@
     }
   }
   const ShareAmount shared = Scaled(limit, kShareFraction);
-  ShareAmount target;
-  if (total_demand > 0) {
-    target = Scaled(shared, (report.demand + base) / total_demand);
-  }
   const ShareAmount most = Scaled(shared, kMaximumVmFraction);
-  const ShareAmount unknown = Scaled(most, this->UnknownVms(now));
-  const ShareAmount available = NotNegative(shared - others - unknown);
+  const int unknown_vms = this->UnknownVms(now);
+  const ShareAmount unknown =
+      Smaller(Scaled(most, unknown_vms), NotNegative(shared - others));
+  const ShareAmount available =
+      Larger(NotNegative(shared - others - unknown), report.held);
   AccountGrant grant;
-  grant.share = Smaller(Smaller(target, most), Larger(available, report.held));
+  if (total_demand > 0 && available.burst >= kOneOperation) {
+    ShareAmount target = Scaled(shared, (report.demand + base) / total_demand);
+    // A share that never holds a whole operation is of no use.
+    target.burst = std::max(target.burst, kOneOperation);
+    grant.share =
+        Smaller(Smaller(target, Larger(most, {0, kOneOperation})), available);
+  }
   Holding& holding = account.holdings[vm];
   // An earlier grant that the VM has not confirmed may still reach it.
   const ShareAmount unconfirmed =
@@ -91,15 +99,12 @@
   holding.demand = report.demand;
   holding.lapses = now + kShareRemoval;
 
+  const int vm_count = static_cast<int>(this->vms.size());
+  const ShareAmount rest =
+      NotNegative(Scaled(limit, 1 - ReservedFraction(vm_count)) - others -
+                  holding.counted - unknown);
   // The expiry only has to lie beyond the next call.
-  const LeasedAmount rest{Scaled(
-          limit, 1 - kShareFraction -
-                     ReservedFraction(static_cast<int>(this->vms.size()))),
-                          now + std::chrono::hours(1)};
-  if (account.remainder.Dynamic().amount != rest.amount ||
-      now + kShareLifetime >= account.remainder.Dynamic().expiry) {
-    account.remainder.Apply(rest, {}, now);
-  }
+  account.remainder.Apply({rest, now + std::chrono::hours(1)}, {}, now);
   while (grant.operations < report.wanted && account.remainder.TryTake(now)) {
     ++grant.operations;
   }
