Announce changes early, avoid replicas that are behind, leave isolated VMs

Cause: a change of primary waited 1.3 s before it announced anything; reads waited on replicas that were seconds behind; a VM cut off from store and peers kept its clients; a repeated promotion call went out every tick. Ruled out: proofs shorter than 1.5 s (lost datagrams would stop reads).

--- a/programs/laburnumkeel-proxy/client_session.cpp
+++ b/programs/laburnumkeel-proxy/client_session.cpp
@@ -365,6 +365,7 @@
     next->account_regions = found->second.allowed_regions;
   }
   next->session_position = this->last_commit;
+  next->session_committed = this->last_committed;
   next->arrived = this->environment.context.clock.Now();
   next->deadline = next->arrived + this->route.statement_timeout;
   next->opens_transaction = in_transaction && !this->transaction;
@@ -414,6 +415,7 @@
     const bool commits_write =
         (is_commit && this->transaction_wrote) || (!in_transaction && is_write);
     if (commits_write && result.reply->position) {
+      this->last_committed = this->environment.context.clock.Now();
       this->last_commit = this->last_commit ? std::max(*this->last_commit,
                                                        *result.reply->position)
                                             : *result.reply->position;
--- a/programs/laburnumkeel-proxy/client_session.h
+++ b/programs/laburnumkeel-proxy/client_session.h
@@ -96,6 +96,7 @@
   model::DatabaseRoute route;
   std::string account;
   std::optional<model::LogPosition> last_commit;
+  kernel::Instant last_committed;
   JobPointer job;
   // An operation waits for its account's limit.
   bool is_admitting = false;
--- a/programs/laburnumkeel-proxy/events.h
+++ b/programs/laburnumkeel-proxy/events.h
@@ -71,6 +71,9 @@
 inline constexpr EventDefinition kDatagramIgnored{
     2133, Severity::kWarning, "datagram_ignored",
     "a datagram at the peer address is not a message of this program"};
+inline constexpr EventDefinition kProxyIsolated{
+    2106, Severity::kWarning, "proxy_isolated",
+    "neither the store nor the holder of the duty answers; readiness fails"};
 
 // All events of this program, for the catalogue.
 inline constexpr std::array kEvents{kProxyReady,      kProxyStopping,
--- a/programs/laburnumkeel-proxy/fleet_exchange.cpp
+++ b/programs/laburnumkeel-proxy/fleet_exchange.cpp
@@ -121,6 +121,7 @@
     if (record.version > report.primaries_version) {
       answer.primaries.push_back(record);
     }
+    answer.lags.merge(this->find_pool(service).Lags(now));
     const auto sample = this->find_pool(service).NewestSample();
     if (sample) {
       answer.positions[service] = {sample->position, Age(now, sample->covers)};
@@ -178,6 +179,13 @@
   for (const auto& [service, sample] : answer.positions) {
     this->find_pool(service).AddSample(sample.position, sent - sample.age);
   }
+  for (const auto& [endpoint, lag] : answer.lags) {
+    const auto known = this->context.endpoints.find(endpoint);
+    if (known != this->context.endpoints.end() &&
+        this->context.settings.vm != this->duty.Lease().Record()->holder) {
+      this->find_pool(known->second.service).SetLag(endpoint, lag, sent);
+    }
+  }
   this->store.OnHint(
       {answer.operator_rows.version, sent - answer.operator_rows.age},
       {answer.endpoint_rows.version, sent - answer.endpoint_rows.age});
--- a/programs/laburnumkeel-proxy/primary_duty.cpp
+++ b/programs/laburnumkeel-proxy/primary_duty.cpp
@@ -23,9 +23,12 @@
 
 constexpr milliseconds kAskPeriod{400};
 constexpr milliseconds kAskTimeout{700};
-// Without an answer for this long a primary counts as failed. A wrong suspicion
-// costs a change of primary, not a promise.
-constexpr milliseconds kSuspicion{1300};
+// Without an answer for this long a change is announced, since the VMs' proofs
+// take a while to lapse; without one for kSuspicion the primary counts as
+// failed. A wrong suspicion costs a change of primary, not a promise.
+constexpr milliseconds kDoubt{800};
+constexpr milliseconds kSuspicion{1200};
+constexpr milliseconds kReplicaAskPeriod{800};
 constexpr milliseconds kMemberAskPeriod{100};
 // The duty has to hold for that much longer when the platform is asked to
 // promote: it covers the call's own time.
@@ -36,6 +39,8 @@
 // the duty to a larger one for a moment.
 constexpr double kFullProcessorShare = 0.5;
 constexpr double kClaimDelayPerCoreMs = 1200;
+// A promotion is carried out some hundred milliseconds after the call.
+constexpr milliseconds kPromotionPause{700};
 constexpr int kStatusOk = 200;
 
 }  // namespace
@@ -176,6 +181,7 @@
       std::max(watch.last_answer,
                this->find_pool(service).LastHeard(record->endpoint_id));
   this->Ask(service, watch, now);
+  this->AskReplicas(service, now);
   this->ConsiderChange(service, watch, now);
 }
 
@@ -300,9 +306,10 @@
     this->StartChange(service, watch, false, "the primary does not lead", now);
     return;
   }
-  if (now >= watch.last_answer + kSuspicion) {
+  if (now >= watch.last_answer + kDoubt) {
     this->StartChange(service, watch, false, "the primary does not answer",
                       now);
+    watch.change->is_tentative = true;
     return;
   }
   const bool has_alternative =
@@ -405,11 +412,71 @@
   this->AdvanceChange(service, watch, now);
 }
 
+bool PrimaryDuty::HoldTentative(const std::string& service, Watch& watch,
+                                Instant now) {
+  Change& change = *watch.change;
+  if (!change.is_tentative) {
+    return false;
+  }
+  const routing::PrimaryRecord& record =
+      *this->context.primaries.Find(service);
+  const Instant heard = this->find_pool(service).LastHeard(record.endpoint_id);
+  if (heard <= change.started) {
+    change.is_tentative = now < watch.last_answer + kSuspicion;
+    return change.is_tentative;
+  }
+  change.is_publishing = true;
+  this->WritePrimary(
+      {service, record.endpoint_id, record.term, false, 0},
+      [this, service, heard](bool is_done) {
+        const auto found = this->watches.find(service);
+        if (found == this->watches.end() || !found->second.change) {
+          return;
+        }
+        found->second.change->is_publishing = false;
+        if (is_done) {
+          LogEvent(kChangeEnded, {{"service", service},
+                                  {"reason", "the primary answers again"}});
+          found->second.last_answer =
+              std::max(found->second.last_answer, heard);
+          found->second.change.reset();
+        }
+      });
+  return true;
+}
+
+void PrimaryDuty::AskReplicas(const std::string& service, Instant now) {
+  Watch& watch = this->watches[service];
+  const routing::PrimaryRecord& record =
+      *this->context.primaries.Find(service);
+  for (const auto& [id, endpoint] : this->context.endpoints) {
+    if (endpoint.service != service || id == record.endpoint_id ||
+        now < watch.replica_asked[id] + kReplicaAskPeriod) {
+      continue;
+    }
+    watch.replica_asked[id] = now;
+    this->find_pool(service).RunInternal(
+        id, platform_adapter::StatusText(), kAskTimeout,
+        [this, service, id = id](
+            const std::optional<statements::EndpointReply>& reply) {
+          if (!reply) {
+            return;
+          }
+          const auto state = platform_adapter::DecodeEndpointState(reply->rows);
+          if (state) {
+            this->find_pool(service).SetLag(id, state->lag,
+                                            this->context.clock.Now());
+          }
+        });
+  }
+}
+
 void PrimaryDuty::AdvanceChange(const std::string& service, Watch& watch,
                                 Instant now) {
   Change& change = *watch.change;
   this->AskMembers(service, change, now);
-  if (change.is_announcing || change.is_calling || change.is_publishing) {
+  if (change.is_announcing || change.is_calling || change.is_publishing ||
+      this->HoldTentative(service, watch, now)) {
     return;
   }
   if (!change.proofs_lapse_at) {
@@ -487,7 +554,8 @@
   Change& change = *watch.change;
   // Once the platform was asked, no other endpoint may be named: the answer may
   // be lost while the call takes effect.
-  if (!change.promoting.empty() && change.promoting != endpoint_id) {
+  if ((!change.promoting.empty() && change.promoting != endpoint_id) ||
+      now < change.call_again_at) {
     return;
   }
   change.promoting = endpoint_id;
@@ -516,6 +584,7 @@
         }
         Change& called = *found->second.change;
         called.is_calling = false;
+        called.call_again_at = this->context.clock.Now() + kPromotionPause;
         if (answer.status != kStatusOk && answer.status != 0) {
           called.promoting.clear();
         }
--- a/programs/laburnumkeel-proxy/primary_duty.h
+++ b/programs/laburnumkeel-proxy/primary_duty.h
@@ -44,6 +44,9 @@
  private:
   struct Change {
     bool is_planned = false;
+    // Announced on a first doubt: nothing is paused yet, and the change is
+    // cancelled when the primary answers.
+    bool is_tentative = false;
     model::Term next_term = 0;
     kernel::Instant started;
     // Proofs given before have lapsed from then on; empty until the store has
@@ -53,6 +56,8 @@
     bool is_calling = false;
     bool is_publishing = false;
     std::string promoting;
+    // The platform takes a while to carry out an accepted call.
+    kernel::Instant call_again_at;
     std::map<std::string, promotion::ChangeMember> members;
     std::map<std::string, kernel::Instant> asked;
     promotion::ChangeStep last_step;
@@ -67,6 +72,8 @@
     model::Term term = 0;
     bool is_publishing = false;
     std::optional<Change> change;
+    // When each replica was last asked for its delay.
+    std::map<std::string, kernel::Instant> replica_asked;
   };
 
   void Renew(kernel::Instant now);
@@ -83,6 +90,10 @@
   void Announce(const std::string& service, Watch& watch);
   void AdvanceChange(const std::string& service, Watch& watch,
                      kernel::Instant now);
+  // True while the change must not touch any endpoint.
+  bool HoldTentative(const std::string& service, Watch& watch,
+                     kernel::Instant now);
+  void AskReplicas(const std::string& service, kernel::Instant now);
   void AskMembers(const std::string& service, Change& change,
                   kernel::Instant now);
   void Command(const std::string& service, const std::string& endpoint_id,
--- a/programs/laburnumkeel-proxy/proxy.cpp
+++ b/programs/laburnumkeel-proxy/proxy.cpp
@@ -31,6 +31,11 @@
 // each; idle sessions are ended evenly over this time afterwards.
 constexpr milliseconds kBalancerDelay{2200};
 constexpr milliseconds kIdleSessionSpread{1500};
+// Strict and bounded reads end with the last proof, 1.5 s after the last answer
+// of the holder or the store.
+constexpr milliseconds kIsolation{2000};
+// Part of the idle sessions of an isolated VM that is ended in each tick.
+constexpr std::size_t kIsolatedParts = 30;
 // The program ends this long before it would be killed.
 constexpr milliseconds kStopMargin{800};
 
@@ -158,12 +163,44 @@
   if (this->context.is_stopping || !this->store.IsComplete()) {
     return false;
   }
+  if (this->IsIsolated(this->context.clock.Now())) {
+    return false;
+  }
   const auto& routes = this->context.configuration->routes;
   return std::any_of(routes.begin(), routes.end(), [&](const auto& route) {
     return this->context.primaries.Find(route.second.service) != nullptr;
   });
 }
 
+bool Proxy::IsIsolated(Instant now) const {
+  return now >= std::max(this->context.holder_heard,
+                         this->store.LastReadAt()) +
+                    kIsolation;
+}
+
+void Proxy::EndIdleSessions(Instant now) {
+  if (!this->IsIsolated(now)) {
+    this->isolated_since = Instant();
+    return;
+  }
+  if (this->isolated_since == Instant()) {
+    this->isolated_since = now;
+    LogEvent(kProxyIsolated, {{"sessions", this->sessions.size()}});
+  }
+  if (now < this->isolated_since + kBalancerDelay) {
+    return;
+  }
+  const std::vector<std::shared_ptr<ClientSession>> open(
+      this->sessions.begin(), this->sessions.end());
+  std::size_t quota = open.size() / kIsolatedParts + 1;
+  for (const auto& session : open) {
+    if (quota > 0 && session->IsIdle()) {
+      session->End();
+      --quota;
+    }
+  }
+}
+
 transport::HttpAnswer Proxy::AnswerProbe(const std::string& target) {
   if (target == platform_adapter::kReadinessTarget) {
     return {this->IsReady() ? kStatusOk : kStatusUnavailable, ""};
@@ -240,6 +277,7 @@
   this->store.Tick(now, this->duty.IsHeld());
   this->gate.Tick(now);
   this->EndIdleTransactions(now);
+  this->EndIdleSessions(now);
   if (this->context.is_stopping) {
     this->ContinueStop(now);
   }
--- a/programs/laburnumkeel-proxy/proxy.h
+++ b/programs/laburnumkeel-proxy/proxy.h
@@ -40,6 +40,10 @@
   void OnDirectoryChanged();
   ServicePool& FindPool(const std::string& service);
   bool IsReady() const;
+  // True when neither the store nor the holder of the duty has been heard for
+  // a while: other VMs serve clients better.
+  bool IsIsolated(kernel::Instant now) const;
+  void EndIdleSessions(kernel::Instant now);
   void EndIdleTransactions(kernel::Instant now);
   transport::HttpAnswer AnswerProbe(const std::string& target);
 
@@ -57,6 +61,8 @@
   boost::asio::signal_set signals;
   boost::asio::steady_timer tick_timer;
   kernel::Instant stop_started;
+  // When the VM became isolated; zero while it is not.
+  kernel::Instant isolated_since;
   bool was_ready = false;
 };
 
--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -37,6 +37,17 @@
 constexpr int kMaximumSuspensionDoublings = 3;
 // Weight of the newest answer in the smoothed delay.
 constexpr double kAnswerSmoothing = 0.2;
+// An unused endpoint's delay is forgotten over this time.
+constexpr double kAnswerMemorySeconds = 1.0;
+// The holder of the duty asks replicas about once a second.
+constexpr milliseconds kLagLifetime{2000};
+// Routes that allow stale reads allow more than this.
+constexpr milliseconds kNoticeableLag{200};
+// From the announcement of a change of primary to its end, as a rule.
+constexpr milliseconds kUsualChange{2300};
+// A statement that no endpoint can take, with no end in sight, is refused after
+// this part of its latency objective.
+constexpr int kUnplacedParts = 5;
 // Delay assumed for an endpoint without answers.
 constexpr double kOwnRegionAnswerMs = 20;
 constexpr double kOtherRegionAnswerMs = 50;
@@ -183,15 +194,16 @@
   if (job.route.consistency == model::ReadConsistency::kPrimary) {
     return {};
   }
-  std::optional<model::LogPosition> position = this->samples.LowestCovering(
-      now - job.route.max_staleness + kStalenessMargin);
-  if (!position) {
+  const std::optional<routing::PositionSample> sample =
+      this->samples.LowestCovering(now - job.route.max_staleness +
+                                   kStalenessMargin);
+  if (!sample) {
     return {};
   }
-  if (job.session_position && *job.session_position > *position) {
-    position = job.session_position;
+  if (job.session_position && *job.session_position > sample->position) {
+    return {true, job.session_position, now - job.session_committed};
   }
-  return {true, position};
+  return {true, sample->position, now - sample->covers};
 }
 
 std::optional<std::string> ServicePool::Choose(const StatementJob& job,
@@ -215,15 +227,19 @@
   for (const auto& [id, endpoint] : this->endpoints) {
     const bool is_primary = this->IsPrimary(id);
     if (job.excluded.contains(id) || !this->IsAllowed(job, endpoint, now) ||
-        (endpoint.info.is_draining && !is_primary) ||
-        !this->FreshnessFor(job, id, now).is_met) {
+        (endpoint.info.is_draining && !is_primary)) {
+      continue;
+    }
+    const Freshness freshness = this->FreshnessFor(job, id, now);
+    if (!freshness.is_met) {
       continue;
     }
     candidates.push_back(
         {is_primary,
          endpoint.info.data_centre == this->context.settings.data_centre,
          this->IsInOwnRegion(endpoint.info.data_centre),
-         now < endpoint.suspended_until, endpoint.answer_ms,
+         now < endpoint.suspended_until,
+         this->ExpectedAnswerMs(endpoint, freshness, now),
          endpoint.outstanding, endpoint.info.slots});
     ids.push_back(id);
   }
@@ -231,6 +247,53 @@
   return chosen ? std::optional(ids[*chosen]) : std::nullopt;
 }
 
+double ServicePool::ExpectedAnswerMs(const Endpoint& endpoint,
+                                     const Freshness& freshness,
+                                     Instant now) const {
+  const double idle_s =
+      std::chrono::duration<double>(now - endpoint.last_heard).count();
+  const double remembered = std::exp(-idle_s / kAnswerMemorySeconds);
+  double expected = endpoint.usual_answer_ms +
+                    (endpoint.answer_ms - endpoint.usual_answer_ms) *
+                        remembered;
+  if (freshness.read_after && now < endpoint.lag_as_of + kLagLifetime) {
+    // The replica answers once it has applied what the read has to see.
+    expected += std::max(
+        0.0, std::chrono::duration<double, std::milli>(endpoint.lag -
+                                                       freshness.age)
+                 .count());
+  }
+  return expected;
+}
+
+bool ServicePool::IsHopeless(const StatementJob& job, Instant now) const {
+  const routing::PrimaryRecord* record =
+      this->context.primaries.Find(this->service);
+  if (record != nullptr && record->is_changing) {
+    return job.deadline < this->primary_adopted + kUsualChange;
+  }
+  return now >= job.arrived + job.route.target_latency / kUnplacedParts;
+}
+
+void ServicePool::SetLag(const std::string& endpoint_id, milliseconds lag,
+                         Instant as_of) {
+  if (Endpoint* endpoint = this->Find(endpoint_id)) {
+    endpoint->lag = lag;
+    endpoint->lag_as_of = as_of;
+  }
+}
+
+std::map<std::string, milliseconds> ServicePool::Lags(Instant now) const {
+  std::map<std::string, milliseconds> lags;
+  for (const auto& [id, endpoint] : this->endpoints) {
+    if (endpoint.lag >= kNoticeableLag &&
+        now < endpoint.lag_as_of + kLagLifetime) {
+      lags[id] = endpoint.lag;
+    }
+  }
+  return lags;
+}
+
 void ServicePool::Place(const JobPointer& job) {
   if (job->is_finished) {
     return;
@@ -244,6 +307,10 @@
   if (!chosen) {
     // All endpoints refused once: they may have caught up by now.
     job->excluded.clear();
+    if (this->IsHopeless(*job, now)) {
+      this->Refuse(job, ErrorCode::kBusy, "no endpoint can take it in time");
+      return;
+    }
     job->retry_at = now + kRetryPause;
     return;
   }
@@ -838,6 +905,12 @@
 }
 
 void ServicePool::OnDirectoryChanged() {
+  const routing::PrimaryRecord* record =
+      this->context.primaries.Find(this->service);
+  if (record != nullptr && record->version != this->primary_version) {
+    this->primary_version = record->version;
+    this->primary_adopted = this->context.clock.Now();
+  }
   for (const auto& [id, info] : this->context.endpoints) {
     if (info.service != this->service) {
       continue;
@@ -845,9 +918,10 @@
     const auto [entry, is_new] = this->endpoints.try_emplace(id);
     Endpoint& endpoint = entry->second;
     if (is_new) {
-      endpoint.answer_ms = this->IsInOwnRegion(info.data_centre)
-                               ? kOwnRegionAnswerMs
-                               : kOtherRegionAnswerMs;
+      endpoint.usual_answer_ms =
+          this->IsInOwnRegion(info.data_centre) ? kOwnRegionAnswerMs
+                                                : kOtherRegionAnswerMs;
+      endpoint.answer_ms = endpoint.usual_answer_ms;
     }
     endpoint.info = info;
   }
--- a/programs/laburnumkeel-proxy/service_pool.h
+++ b/programs/laburnumkeel-proxy/service_pool.h
@@ -59,6 +59,13 @@
     return this->samples.Newest();
   }
 
+  // How far a replica is behind, as of an instant.
+  void SetLag(const std::string& endpoint_id, std::chrono::milliseconds lag,
+              kernel::Instant as_of);
+  // Replicas that are noticeably behind.
+  std::map<std::string, std::chrono::milliseconds> Lags(
+      kernel::Instant now) const;
+
   // Drops a statement whose client is gone.
   void Cancel(const JobPointer& job);
 
@@ -73,7 +80,11 @@
     std::vector<std::shared_ptr<EndpointConnection>> connections;
     std::map<std::shared_ptr<EndpointConnection>, kernel::Instant> opening;
     std::deque<JobPointer> waiting;
+    // Without answers, the smoothed delay returns to this one.
+    double usual_answer_ms = 0;
     double answer_ms = 0;
+    std::chrono::milliseconds lag{0};
+    kernel::Instant lag_as_of;
     int outstanding = 0;
     int failures = 0;
     kernel::Instant last_heard;
@@ -84,9 +95,17 @@
   struct Freshness {
     bool is_met = false;
     std::optional<model::LogPosition> read_after;
+    // Time since the newest commit that the read has to see; meaningful with
+    // `read_after`.
+    kernel::Duration age{0};
   };
 
   void Place(const JobPointer& job);
+  double ExpectedAnswerMs(const Endpoint& endpoint,
+                          const Freshness& freshness,
+                          kernel::Instant now) const;
+  // True when nothing can be expected to take the statement in its time.
+  bool IsHopeless(const StatementJob& job, kernel::Instant now) const;
   std::optional<std::string> Choose(const StatementJob& job,
                                     kernel::Instant now) const;
   bool IsAllowed(const StatementJob& job, const Endpoint& endpoint,
@@ -142,6 +161,9 @@
   routing::PositionSamples samples;
   std::vector<JobPointer> jobs;
   kernel::Instant last_used;
+  // Version of the primary's record, and when this VM adopted it.
+  std::uint64_t primary_version = 0;
+  kernel::Instant primary_adopted;
   bool is_sampling = false;
 };
 
--- a/programs/laburnumkeel-proxy/statement_job.h
+++ b/programs/laburnumkeel-proxy/statement_job.h
@@ -53,6 +53,7 @@
   model::DatabaseRoute route;
   // The session's last commit.
   std::optional<model::LogPosition> session_position;
+  kernel::Instant session_committed;
   kernel::Instant arrived;
   kernel::Instant deadline;
   // A transaction is opened before the statement.
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -1,6 +1,7 @@
 #ifndef LABURNUMKEEL_PROGRAMS_PROXY_STORE_LINK_H_
 #define LABURNUMKEEL_PROGRAMS_PROXY_STORE_LINK_H_
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -68,6 +69,13 @@
   // The store's clock now, or a little later; 0 before the first answer.
   std::int64_t StoreNowMs(kernel::Instant now) const;
 
+  // When a call of the store was last answered.
+  kernel::Instant LastReadAt() const {
+    return std::max({this->operator_rows.state.read_at,
+                     this->endpoint_rows.state.read_at,
+                     this->fleet_read_sent});
+  }
+
   const std::set<std::string>& VmNames() const { return this->vm_names; }
 
   // Tells the observers that primaries changed.
--- a/src/laburnumkeel/peer/fleet_message.cpp
+++ b/src/laburnumkeel/peer/fleet_message.cpp
@@ -119,6 +119,12 @@
       static_cast<std::int64_t>(answer.endpoint_rows.version);
   wire.endpoint_age_us = answer.endpoint_rows.age.count();
   wire.vm_count = answer.vm_count;
+  for (const auto& [endpoint, lag] : answer.lags) {
+    generated::WireLag entry;
+    entry.endpoint = endpoint;
+    entry.lag_ms = static_cast<std::int32_t>(lag.count());
+    wire.lags.push_back(std::move(entry));
+  }
   return Serialize(kAnswerTag, wire);
 }
 
@@ -168,6 +174,9 @@
   answer.endpoint_rows = {static_cast<std::uint64_t>(wire->endpoint_version),
                           std::chrono::microseconds(wire->endpoint_age_us)};
   answer.vm_count = wire->vm_count;
+  for (const auto& entry : wire->lags) {
+    answer.lags[entry.endpoint] = std::chrono::milliseconds(entry.lag_ms);
+  }
   return answer;
 }
 
--- a/src/laburnumkeel/peer/fleet_message.h
+++ b/src/laburnumkeel/peer/fleet_message.h
@@ -64,6 +64,8 @@
   TableFreshness operator_rows;
   TableFreshness endpoint_rows;
   int vm_count = 1;
+  // Replicas that are noticeably behind, by endpoint.
+  std::map<std::string, std::chrono::milliseconds> lags;
 
   bool operator==(const FleetAnswer&) const = default;
 };
--- a/src/laburnumkeel/peer/idl/fleet.thrift
+++ b/src/laburnumkeel/peer/idl/fleet.thrift
@@ -46,6 +46,12 @@
   4: i64 age_us,
 }
 
+// A replica that is noticeably behind.
+struct WireLag {
+  1: string endpoint,
+  2: i32 lag_ms,
+}
+
 struct WireAnswer {
   // Of the report; 0 when the answer was not asked for.
   1: i64 sequence,
@@ -64,4 +70,5 @@
   9: i64 endpoint_version,
   10: i64 endpoint_age_us,
   11: i32 vm_count,
+  12: list<WireLag> lags,
 }
--- a/src/laburnumkeel/routing/position_samples.cpp
+++ b/src/laburnumkeel/routing/position_samples.cpp
@@ -27,7 +27,7 @@
   }
 }
 
-std::optional<model::LogPosition> PositionSamples::LowestCovering(
+std::optional<PositionSample> PositionSamples::LowestCovering(
     kernel::Instant instant) const {
   const auto found = std::find_if(
       this->samples.begin(), this->samples.end(),
@@ -35,7 +35,7 @@
   if (found == this->samples.end()) {
     return std::nullopt;
   }
-  return found->position;
+  return *found;
 }
 
 std::optional<PositionSample> PositionSamples::Newest() const {
--- a/src/laburnumkeel/routing/position_samples.h
+++ b/src/laburnumkeel/routing/position_samples.h
@@ -32,10 +32,10 @@
   // `covers` is the instant at which the statement was sent.
   void Add(const model::LogPosition& position, kernel::Instant covers);
 
-  // The lowest position that covers all commits acknowledged before `instant`;
-  // empty when no sample does. A low position is held by more replicas.
-  std::optional<model::LogPosition> LowestCovering(
-      kernel::Instant instant) const;
+  // The sample of the lowest position that covers all commits acknowledged
+  // before `instant`; empty when none does. A low position is held by more
+  // replicas.
+  std::optional<PositionSample> LowestCovering(kernel::Instant instant) const;
 
   // Empty without samples.
   std::optional<PositionSample> Newest() const;
