--- a/programs/laburnumkeel-ctl/event_catalogue.cpp
+++ b/programs/laburnumkeel-ctl/event_catalogue.cpp
@@ -17,6 +17,7 @@
 #include "programs/laburnumkeel-admin/events.h"
 #include "programs/laburnumkeel-control/events.h"
 #include "programs/laburnumkeel-entry/events.h"
+#include "programs/laburnumkeel-proxy/events.h"
 
 namespace laburnumkeel::ctl {
 
@@ -44,7 +45,8 @@
           Group("peer", peer::kEvents),
           Group("entry", entry::kEvents),
           Group("control", control::kEvents),
-          Group("admin", admin::kEvents)};
+          Group("admin", admin::kEvents),
+          Group("proxy", proxy::kEvents)};
 }
 
 std::string EventCatalogue() {
--- a/programs/laburnumkeel-proxy/events.h
+++ b/programs/laburnumkeel-proxy/events.h
@@ -11,71 +11,71 @@
 using kernel::Severity;
 
 inline constexpr EventDefinition kProxyReady{
-    2101, Severity::kInformation, "proxy_ready",
+    6501, Severity::kInformation, "proxy_ready",
     "the VM takes clients: configuration and endpoints are known"};
 inline constexpr EventDefinition kProxyStopping{
-    2102, Severity::kInformation, "proxy_stopping",
+    6502, Severity::kInformation, "proxy_stopping",
     "SIGTERM arrived; readiness fails from now and sessions end"};
 inline constexpr EventDefinition kProxyStopped{
-    2103, Severity::kInformation, "proxy_stopped", "the program ends"};
+    6503, Severity::kInformation, "proxy_stopped", "the program ends"};
 inline constexpr EventDefinition kSettingsReloaded{
-    2104, Severity::kInformation, "settings_reloaded",
+    6504, Severity::kInformation, "settings_reloaded",
     "the settings file was read again"};
 inline constexpr EventDefinition kSettingsInvalid{
-    2105, Severity::kError, "settings_invalid",
+    6505, Severity::kError, "settings_invalid",
     "a setting is missing or out of range"};
 inline constexpr EventDefinition kStoreLost{
-    2110, Severity::kWarning, "store_lost",
+    6510, Severity::kWarning, "store_lost",
     "a call of the platform's store failed; the last known rows stay in use"};
 inline constexpr EventDefinition kStoreRegained{
-    2111, Severity::kInformation, "store_regained",
+    6511, Severity::kInformation, "store_regained",
     "the platform's store answers again"};
 inline constexpr EventDefinition kConfigurationAdopted{
-    2112, Severity::kInformation, "configuration_adopted",
+    6512, Severity::kInformation, "configuration_adopted",
     "a newer configuration is in force on this VM"};
 inline constexpr EventDefinition kRowIgnored{
-    2113, Severity::kWarning, "row_ignored",
+    6513, Severity::kWarning, "row_ignored",
     "a row of the store cannot be read and names nothing to use"};
 inline constexpr EventDefinition kEvacuationChanged{
-    2114, Severity::kInformation, "evacuation_changed",
+    6514, Severity::kInformation, "evacuation_changed",
     "operators took a data centre out of use, or back"};
 inline constexpr EventDefinition kEndpointChanged{
-    2115, Severity::kInformation, "endpoint_changed",
+    6515, Severity::kInformation, "endpoint_changed",
     "an endpoint came, left, or reported another state"};
 inline constexpr EventDefinition kPrimaryAdopted{
-    2120, Severity::kInformation, "primary_adopted",
+    6520, Severity::kInformation, "primary_adopted",
     "the published primary of a service, or its state, changed"};
 inline constexpr EventDefinition kDutyTaken{
-    2121, Severity::kInformation, "duty_taken",
+    6521, Severity::kInformation, "duty_taken",
     "this VM now holds the duty to change primaries"};
 inline constexpr EventDefinition kDutyLost{
-    2122, Severity::kWarning, "duty_lost",
+    6522, Severity::kWarning, "duty_lost",
     "this VM can no longer rely on the duty to change primaries"};
 inline constexpr EventDefinition kChangeStarted{
-    2123, Severity::kWarning, "change_started", "a change of primary begins"};
+    6523, Severity::kWarning, "change_started", "a change of primary begins"};
 inline constexpr EventDefinition kChangeStep{
-    2124, Severity::kInformation, "change_step",
+    6524, Severity::kInformation, "change_step",
     "a step of a change of primary was taken"};
 inline constexpr EventDefinition kChangeEnded{2125, Severity::kInformation,
                                               "change_ended",
                                               "a change of primary is over"};
 inline constexpr EventDefinition kStatementRefused{
-    2130, Severity::kInformation, "statement_refused",
+    6530, Severity::kInformation, "statement_refused",
     "a client's statement got an error"};
 inline constexpr EventDefinition kSessionRefused{
-    2131, Severity::kInformation, "session_refused",
+    6531, Severity::kInformation, "session_refused",
     "a client's connection was refused"};
 inline constexpr EventDefinition kLinesOmitted{
-    2132, Severity::kWarning, "lines_omitted",
+    6532, Severity::kWarning, "lines_omitted",
     "lines about single requests were left out, above the budget a second"};
 inline constexpr EventDefinition kEndpointRefused{
-    2134, Severity::kInformation, "endpoint_refused",
+    6534, Severity::kInformation, "endpoint_refused",
     "an endpoint did not serve a statement, which may be tried elsewhere"};
 inline constexpr EventDefinition kDatagramIgnored{
-    2133, Severity::kWarning, "datagram_ignored",
+    6533, Severity::kWarning, "datagram_ignored",
     "a datagram at the peer address is not a message of this program"};
 inline constexpr EventDefinition kProxyIsolated{
-    2106, Severity::kWarning, "proxy_isolated",
+    6506, Severity::kWarning, "proxy_isolated",
     "neither the store nor the holder of the duty answers; readiness fails"};
 
 // All events of this program, for the catalogue.
--- a/programs/laburnumkeel-proxy/proxy_context.h
+++ b/programs/laburnumkeel-proxy/proxy_context.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <utility>
 
-#include "laburnumkeel/kernel/boot_clock.h"
 #include "laburnumkeel/kernel/metrics.h"
+#include "laburnumkeel/kernel/runtime_clock.h"
 #include "laburnumkeel/model/database_endpoint.h"
 #include "laburnumkeel/model/proxy_configuration.h"
 #include "laburnumkeel/routing/primary_table.h"
@@ -24,7 +24,7 @@
       : settings(std::move(settings)) {}
 
   boost::asio::io_context loop{1};
-  kernel::BootClock clock;
+  kernel::RuntimeClock clock;
   kernel::Metrics metrics;
   RequestLog request_log;
   platform_adapter::ProxySettings settings;
--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -68,8 +68,8 @@
 // each VM.
 constexpr double kMinimumConnections = 3;
 constexpr milliseconds kConnectionsFullPause{60};
-// A statement waits for others of a connection's account for this long: well
-// below the latency objectives of the routes.
+// A statement waits this much longer than others of a connection's account,
+// well below the latency objectives of the routes.
 constexpr milliseconds kConnectionPatience{120};
 // No new work goes to a data centre this long before the operators' bound.
 constexpr milliseconds kEvacuationMargin{1000};
@@ -386,8 +386,7 @@
                        job->route.priority, job->arrived});
   }
   const std::optional<std::size_t> chosen = routing::ChooseForConnection(
-      waiting, connection->Account(), kConnectionPatience,
-      this->context.clock.Now());
+      waiting, connection->Account(), kConnectionPatience);
   if (!chosen) {
     return false;
   }
--- a/src/laburnumkeel/routing/endpoint_choice.cpp
+++ b/src/laburnumkeel/routing/endpoint_choice.cpp
@@ -39,14 +39,14 @@
 
 std::optional<std::size_t> ChooseForConnection(
     const std::vector<WaitingStatement>& waiting, const std::string& account,
-    kernel::Duration patience, kernel::Instant now) {
+    kernel::Duration patience) {
   std::optional<std::size_t> best;
+  std::optional<kernel::Instant> oldest_other;
   for (std::size_t index = 0; index < waiting.size(); ++index) {
     const WaitingStatement& statement = waiting[index];
     if (statement.account != account) {
-      if (now >= statement.arrived + patience) {
-        return std::nullopt;
-      }
+      oldest_other = oldest_other ? std::min(*oldest_other, statement.arrived)
+                                  : statement.arrived;
       continue;
     }
     const bool is_better = !best ||
@@ -57,7 +57,9 @@
       best = index;
     }
   }
-  return best;
+  const bool is_unfair =
+      best && oldest_other && *oldest_other + patience < waiting[*best].arrived;
+  return is_unfair ? std::nullopt : best;
 }
 
 std::optional<std::size_t> ChooseForRead(
--- a/src/laburnumkeel/routing/endpoint_choice.h
+++ b/src/laburnumkeel/routing/endpoint_choice.h
@@ -45,10 +45,10 @@
 // connections, as when the replicas are behind and all reads go to the primary.
 // Another account needs a new connection, which takes a slot of the endpoint
 // for as long as half a statement, so statements of the same account go first,
-// unless one of another account waited for longer than `patience`.
+// unless one of another account arrived earlier by more than `patience`.
 std::optional<std::size_t> ChooseForConnection(
     const std::vector<WaitingStatement>& waiting, const std::string& account,
-    kernel::Duration patience, kernel::Instant now);
+    kernel::Duration patience);
 
 // Index of the candidate for a read; empty without candidates.
 //
--- /dev/null
+++ b/tests/adapter/settings_test.cpp
@@ -0,0 +1,90 @@
+#include "platform/settings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <nlohmann/json.hpp>
+
+namespace laburnumkeel::platform_adapter {
+namespace {
+
+class SettingsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SettingsTest);
+  CPPUNIT_TEST(ReadsAllFields);
+  CPPUNIT_TEST(IgnoresUnknownFields);
+  CPPUNIT_TEST(AbsentBoundsKeepTheirDefaults);
+  CPPUNIT_TEST(ReportsEveryFault);
+  CPPUNIT_TEST(ReportsAnUnreadableFile);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ReadsAllFields() {
+    const SettingsResult result = DecodeSettings(Complete().dump());
+    CPPUNIT_ASSERT(result.settings.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("vm-1"), result.settings->vm);
+    CPPUNIT_ASSERT(result.settings->grace_period ==
+                   std::chrono::milliseconds(6000));
+    CPPUNIT_ASSERT_EQUAL(std::string("r"), result.settings->regions.at("dc"));
+    CPPUNIT_ASSERT_EQUAL(0.1, result.settings->rate_overrun);
+  }
+
+  // Guards against a platform release that adds a field.
+  void IgnoresUnknownFields() {
+    nlohmann::json document = Complete();
+    document["new_field"] = {{"a", 1}};
+    CPPUNIT_ASSERT(DecodeSettings(document.dump()).settings.has_value());
+  }
+
+  void AbsentBoundsKeepTheirDefaults() {
+    nlohmann::json document = Complete();
+    document.erase("drain_bound_ms");
+    document["evacuation_bound_ms"] = nullptr;
+    const SettingsResult result = DecodeSettings(document.dump());
+    CPPUNIT_ASSERT(result.settings->drain_bound ==
+                   std::chrono::milliseconds(7000));
+    CPPUNIT_ASSERT(result.settings->evacuation_bound ==
+                   std::chrono::milliseconds(5000));
+  }
+
+  // Guards against an operator who has to start the program once a fault.
+  void ReportsEveryFault() {
+    nlohmann::json document = Complete();
+    document.erase("vm");
+    document["store_address"] = "no port";
+    document["rate_overrun"] = -1;
+    document["peer_port"] = "many";
+    const SettingsResult result = DecodeSettings(document.dump());
+    CPPUNIT_ASSERT(!result.settings);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, result.faults.size());
+  }
+
+  void ReportsAnUnreadableFile() {
+    CPPUNIT_ASSERT(!ReadSettingsFile("/nonexistent").settings);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, DecodeSettings("{").faults.size());
+  }
+
+ private:
+  static nlohmann::json Complete() {
+    return {{"vm", "vm-1"},
+            {"ip", "10.0.0.1"},
+            {"data_centre", "dc"},
+            {"region", "r"},
+            {"regions", {{"dc", "r"}}},
+            {"client_address", "10.0.0.1:1"},
+            {"readiness_address", "10.0.0.1:2"},
+            {"store_address", "10.0.0.9:3"},
+            {"promotion_address", "10.0.0.9:4"},
+            {"peer_port", 7560},
+            {"grace_period_s", 6},
+            {"evacuation_bound_ms", 5000},
+            {"drain_bound_ms", 7000},
+            {"rate_window_s", 5},
+            {"rate_overrun", 0.1},
+            {"rate_tolerance", 20},
+            {"processor_share", 0.25}};
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SettingsTest);
+
+}  // namespace
+}  // namespace laburnumkeel::platform_adapter
--- /dev/null
+++ b/tests/adapter/store_codec_test.cpp
@@ -0,0 +1,107 @@
+#include "platform/store_codec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <nlohmann/json.hpp>
+
+namespace laburnumkeel::platform_adapter {
+namespace {
+
+class StoreCodecTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoreCodecTest);
+  CPPUNIT_TEST(DecodesRows);
+  CPPUNIT_TEST(RefusesDamagedRows);
+  CPPUNIT_TEST(EncodesAConditionalWrite);
+  CPPUNIT_TEST(DecodesAConfiguration);
+  CPPUNIT_TEST(UnknownConsistencyIsTheStrictest);
+  CPPUNIT_TEST(RefusesAnotherWritersEndpoint);
+  CPPUNIT_TEST(RestartedEndpointIsAnotherOne);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void DecodesRows() {
+    const auto rows = DecodeRows(
+        R"({"rows":[{"table":"my","part":"","key":"owner","value":"bm9kZS0x",)"
+        R"("row_version":412},{"key":"old","removed":true,"row_version":413}],)"
+        R"("has_more":true,"row_version":530,"current_time_ms":51230})");
+    CPPUNIT_ASSERT(rows.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("node-1"), rows->rows.at(0).value);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{412}, rows->rows.at(0).version);
+    CPPUNIT_ASSERT(rows->rows.at(1).is_removed);
+    CPPUNIT_ASSERT(rows->has_more);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{530}, rows->store_version);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{51230}, rows->store_now_ms);
+  }
+
+  // Guards against an unreadable answer that counts as an empty table.
+  void RefusesDamagedRows() {
+    for (const char* body :
+         {"", "[", R"({"rows":[{"value":1}]})", R"({"rows":5})"}) {
+      CPPUNIT_ASSERT_MESSAGE(body, !DecodeRows(body));
+    }
+  }
+
+  void EncodesAConditionalWrite() {
+    const auto body = nlohmann::json::parse(
+        EncodeTransaction({{"t", "k", 7}}, {{"t", "k", "node-1"}}));
+    CPPUNIT_ASSERT_EQUAL(7, body["expect"][0]["row_version"].get<int>());
+    CPPUNIT_ASSERT_EQUAL(std::string("bm9kZS0x"),
+                         body["upserts"][0]["value"].get<std::string>());
+    CPPUNIT_ASSERT(body["remove"].empty());
+  }
+
+  void DecodesAConfiguration() {
+    const auto configuration = DecodeConfiguration(
+        R"({"version":7,"routes":[{"name":"r","host":"xapu","kind":)"
+        R"("bounded_staleness","timeout_ms":2000,"target_latency_ms":800,)"
+        R"("priority":2,"service":"huvo","max_staleness_ms":1500,)"
+        R"("public":false,"allowed_regions":["maan"]}],"services":[{"name":)"
+        R"("huvo","max_connections":21}],"limits":{"transaction_idle_ms":3000},)"
+        R"("tenants":[{"name":"nypu","api_keys":["a","b"],"rate_per_s":121,)"
+        R"("burst":12,"allowed_regions":[]}]})");
+    CPPUNIT_ASSERT(configuration.has_value());
+    const model::DatabaseRoute& route = configuration->routes.at("xapu");
+    CPPUNIT_ASSERT(route.consistency ==
+                   model::ReadConsistency::kBoundedStaleness);
+    CPPUNIT_ASSERT(route.max_staleness == std::chrono::milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(std::string("nypu"),
+                         configuration->account_of_key.at("b"));
+    CPPUNIT_ASSERT_EQUAL(12.0, configuration->accounts.at("nypu").burst);
+    CPPUNIT_ASSERT_EQUAL(21,
+                         configuration->services.at("huvo").max_connections);
+  }
+
+  // Guards against stale reads on a route whose kind this version cannot read.
+  void UnknownConsistencyIsTheStrictest() {
+    const auto configuration = DecodeConfiguration(
+        R"({"version":1,"routes":[{"host":"a","service":"s","kind":"new"}]})");
+    CPPUNIT_ASSERT(configuration->routes.at("a").consistency ==
+                   model::ReadConsistency::kPrimary);
+  }
+
+  // Guards against sending statements to what is not a database.
+  void RefusesAnotherWritersEndpoint() {
+    for (const char* value :
+         {"", "{}", R"({"service":"s","address":5,"zone":"z"})",
+          R"({"service":"s","address":"10.0.0.1:1","zone":"z",)"
+          R"("state":"gone","database_role":"replica"})",
+          R"({"service":"s","address":"10.0.0.1:1","zone":"z",)"
+          R"("state":"ready","database_role":"leader"})"}) {
+      CPPUNIT_ASSERT_MESSAGE(value, !DecodeEndpoint("i-1", value));
+    }
+  }
+
+  void RestartedEndpointIsAnotherOne() {
+    const std::string common =
+        R"({"service":"s","address":"10.0.0.1:1","zone":"z","state":"ready",)"
+        R"("database_role":"replica","sequence":4,"born":)";
+    const auto before = DecodeEndpoint("i-1", common + "1000}");
+    const auto after = DecodeEndpoint("i-1", common + "2000}");
+    CPPUNIT_ASSERT(before && after && !(*before == *after));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreCodecTest);
+
+}  // namespace
+}  // namespace laburnumkeel::platform_adapter
--- /dev/null
+++ b/tests/limits/rate_coordinator_test.cpp
@@ -0,0 +1,357 @@
+#include "laburnumkeel/limits/rate_coordinator.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "laburnumkeel/limits/account_allowance.h"
+#include "laburnumkeel/limits/vm_share.h"
+
+namespace laburnumkeel::limits {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr double kRate = 20;
+constexpr double kBurst = 20;
+const RateWindow kWindow{milliseconds(5000), 0.1, 20};
+constexpr milliseconds kStep{10};
+constexpr milliseconds kReportPeriod{500};
+constexpr milliseconds kOneWay{20};
+
+// One account on a fleet: VMs that report to a coordinator over a network that
+// loses messages, and the operations that they pass.
+class Fleet {
+ public:
+  Fleet(int vm_count, unsigned seed) : vms(vm_count), random(seed) {
+    for (int vm = 0; vm < vm_count; ++vm) {
+      this->names.insert(std::to_string(vm));
+      this->vms[vm].next_report = this->now + kStep * this->Draw(50);
+    }
+    this->coordinator.SetVms(this->names);
+    this->coordinator.Reset({}, this->now);
+  }
+
+  void SetDemand(int vm, double per_second) {
+    this->vms.at(vm).demand = per_second;
+  }
+  void SetLoss(double part) { this->loss = part; }
+  void SetCutOff(int vm, bool is_cut) { this->vms.at(vm).is_cut = is_cut; }
+
+  // Another VM takes the duty over.
+  void ReplaceCoordinator(kernel::Duration gap) {
+    this->coordinator_from = this->now + gap;
+    this->coordinator = RateCoordinator();
+    this->coordinator.SetVms(this->names);
+    this->coordinator.Reset({}, this->coordinator_from);
+  }
+
+  // A VM's process starts again and knows nothing.
+  void Restart(int vm) {
+    this->vms.at(vm).allowance = AccountAllowance();
+    this->vms.at(vm).waiting = 0;
+  }
+
+  void Run(std::chrono::seconds time) {
+    const kernel::Instant end = this->now + time;
+    while (this->now < end) {
+      this->now += kStep;
+      for (std::size_t vm = 0; vm < this->vms.size(); ++vm) {
+        this->StepVm(static_cast<int>(vm));
+      }
+    }
+  }
+
+  double Asked() const { return this->asked; }
+  double Passed() const { return static_cast<double>(this->passed.size()); }
+  void ForgetCounts() {
+    this->asked = 0;
+    this->passed.clear();
+  }
+
+  // The largest number of operations that passed in a window.
+  double MostInAWindow() const {
+    std::size_t most = 0;
+    std::deque<kernel::Instant> window;
+    for (const kernel::Instant at : this->passed) {
+      window.push_back(at);
+      while (window.front() <= at - kWindow.length) {
+        window.pop_front();
+      }
+      most = std::max(most, window.size());
+    }
+    return static_cast<double>(most);
+  }
+
+ private:
+  struct Answer {
+    kernel::Instant arrives;
+    kernel::Instant sent;
+    AccountGrant grant;
+  };
+  struct Vm {
+    AccountAllowance allowance;
+    double demand = 0;
+    int waiting = 0;
+    bool is_cut = false;
+    kernel::Instant next_report;
+    std::deque<Answer> answers;
+  };
+
+  int Draw(int bound) { return static_cast<int>(this->random() % bound); }
+  bool Chance(double part) {
+    return std::uniform_real_distribution<>(0, 1)(this->random) < part;
+  }
+
+  void StepVm(int index) {
+    Vm& vm = this->vms[index];
+    vm.allowance.SetReserve(
+        RateCoordinator::Reserve(this->limit,
+                                 static_cast<int>(this->vms.size())),
+        this->now);
+    while (!vm.answers.empty() && vm.answers.front().arrives <= this->now) {
+      const Answer answer = vm.answers.front();
+      vm.answers.pop_front();
+      vm.allowance.OnGrant(answer.grant, answer.sent, this->now);
+      while (vm.waiting > 0 && vm.allowance.TryPass(this->now)) {
+        --vm.waiting;
+        this->passed.push_back(this->now);
+      }
+      vm.waiting = 0;
+    }
+    if (this->Chance(vm.demand *
+                     std::chrono::duration<double>(kStep).count())) {
+      ++this->asked;
+      vm.allowance.CountDemand(this->now);
+      if (vm.allowance.TryPass(this->now)) {
+        this->passed.push_back(this->now);
+      } else {
+        ++vm.waiting;
+        vm.next_report = std::min(vm.next_report, this->now);
+      }
+    }
+    if (this->now >= vm.next_report) {
+      vm.next_report = this->now + kReportPeriod;
+      this->Report(index);
+    }
+  }
+
+  void Report(int index) {
+    Vm& vm = this->vms[index];
+    const kernel::Instant handled = this->now + kOneWay;
+    if (vm.is_cut || handled < this->coordinator_from ||
+        this->Chance(this->loss)) {
+      return;
+    }
+    const std::string name = std::to_string(index);
+    this->coordinator.OnReported(name, name, handled);
+    const AccountGrant grant = this->coordinator.Assign(
+        name, "account", this->limit,
+        vm.allowance.Report(vm.waiting, this->now), handled);
+    if (!this->Chance(this->loss)) {
+      vm.answers.push_back({handled + kOneWay, this->now, grant});
+    }
+  }
+
+  const ShareAmount limit = EqualVmShare(kRate, kBurst, kWindow, 1);
+  std::vector<Vm> vms;
+  std::set<std::string> names;
+  std::mt19937 random;
+  double loss = 0;
+  RateCoordinator coordinator;
+  kernel::Instant coordinator_from;
+  kernel::Instant now{std::chrono::hours(1)};
+  std::vector<kernel::Instant> passed;
+  double asked = 0;
+};
+
+class RateCoordinatorTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RateCoordinatorTest);
+  CPPUNIT_TEST(ClientsOnOneVmAreServed);
+  CPPUNIT_TEST(ClientsSpreadOverManyVmsAreServed);
+  CPPUNIT_TEST(ClientsThatMoveAreServed);
+  CPPUNIT_TEST(LimitHoldsForAnAccountFarAboveItsRate);
+  CPPUNIT_TEST(LimitHoldsUnderLossCutsAndSuccession);
+  CPPUNIT_TEST(SharesServeWhileTheCoordinatorIsAway);
+  CPPUNIT_TEST(SuccessorLeavesUnknownSharesAlone);
+  CPPUNIT_TEST(SilentVmsDoNotBlockASuccessor);
+  CPPUNIT_TEST(LoweredShareCountsUntilItIsConfirmed);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Load pattern: all clients of an account reach the same VM. Guards against
+  // refusals within the rate because the other VMs hold parts of it.
+  void ClientsOnOneVmAreServed() {
+    Fleet fleet(8, 1);
+    fleet.SetDemand(3, kUsual);
+    this->AssertServed(fleet, 0.99);
+  }
+
+  // Load pattern: 45 sessions of an account on 45 of 89 VMs. Guards against
+  // shares that are smaller than one operation.
+  void ClientsSpreadOverManyVmsAreServed() {
+    Fleet fleet(89, 2);
+    for (int vm = 0; vm < 45; ++vm) {
+      fleet.SetDemand(vm, kUsual / 45);
+    }
+    this->AssertServed(fleet, 0.99);
+  }
+
+  // Load pattern: clients move from one data centre's VMs to another's.
+  void ClientsThatMoveAreServed() {
+    Fleet fleet(8, 3);
+    for (int vm = 0; vm < 4; ++vm) {
+      fleet.SetDemand(vm, kUsual / 4);
+    }
+    fleet.Run(std::chrono::seconds(10));
+    for (int vm = 0; vm < 8; ++vm) {
+      fleet.SetDemand(vm, vm < 4 ? 0 : kUsual / 4);
+    }
+    fleet.ForgetCounts();
+    fleet.Run(std::chrono::seconds(10));
+    CPPUNIT_ASSERT(fleet.Passed() >= 0.95 * fleet.Asked());
+  }
+
+  // Load pattern: an account sends 8 times its rate to all VMs.
+  void LimitHoldsForAnAccountFarAboveItsRate() {
+    Fleet fleet(8, 4);
+    for (int vm = 0; vm < 8; ++vm) {
+      fleet.SetDemand(vm, kRate);
+    }
+    fleet.Run(std::chrono::seconds(30));
+    AssertWithinLimit(fleet, "");
+    // The account is entitled to its rate.
+    CPPUNIT_ASSERT(fleet.Passed() >= 0.9 * kRate * 30);
+  }
+
+  // Guards against any sequence of lost messages, cut VMs, restarts and new
+  // coordinators in which the VMs together pass more than the limit.
+  void LimitHoldsUnderLossCutsAndSuccession() {
+    for (unsigned seed = 1; seed <= 60; ++seed) {
+      Fleet fleet(8, seed);
+      std::mt19937 random(seed);
+      fleet.SetLoss(0.2);
+      for (int round = 0; round < 20; ++round) {
+        const int vm = static_cast<int>(random() % 8);
+        fleet.SetDemand(vm, static_cast<double>(random() % 100));
+        switch (random() % 4) {
+          case 0:
+            fleet.SetCutOff(vm, true);
+            break;
+          case 1:
+            fleet.SetCutOff(vm, false);
+            break;
+          case 2:
+            fleet.ReplaceCoordinator(std::chrono::seconds(random() % 7));
+            break;
+          default:
+            fleet.Restart(vm);
+        }
+        fleet.Run(std::chrono::seconds(1 + random() % 4));
+      }
+      AssertWithinLimit(fleet, "seed " + std::to_string(seed));
+    }
+  }
+
+  // Guards against refusing everyone for the 6 s in which nobody holds the
+  // duty.
+  void SharesServeWhileTheCoordinatorIsAway() {
+    Fleet fleet(8, 5);
+    for (int vm = 0; vm < 8; ++vm) {
+      fleet.SetDemand(vm, kUsual / 8);
+    }
+    fleet.Run(std::chrono::seconds(10));
+    fleet.ReplaceCoordinator(std::chrono::seconds(6));
+    fleet.ForgetCounts();
+    fleet.Run(std::chrono::seconds(6));
+    CPPUNIT_ASSERT(fleet.Passed() >= 0.85 * fleet.Asked());
+  }
+
+  // Guards against a successor that gives out what a VM it has not heard of
+  // still uses.
+  void SuccessorLeavesUnknownSharesAlone() {
+    RateCoordinator coordinator;
+    coordinator.SetVms({"a", "b"});
+    coordinator.Reset({}, At(0));
+    coordinator.OnReported("a", "a", At(10));
+    const AccountGrant early =
+        coordinator.Assign("a", "account", {100, 100}, {50, {0, 0}, 0}, At(10));
+    const double unknown =
+        RateCoordinator::kShareFraction * RateCoordinator::kMaximumVmFraction;
+    CPPUNIT_ASSERT(early.share.rate <=
+                   100 * (RateCoordinator::kShareFraction - unknown) + 1e-9);
+    const AccountGrant later = coordinator.Assign(
+        "a", "account", {100, 100}, {50, early.share, 0}, At(9000));
+    CPPUNIT_ASSERT(later.share.rate > early.share.rate);
+  }
+
+  // Guards against a VM that is gone for good and costs each new coordinator
+  // the full wait; such a VM gets no share until its name is withdrawn.
+  void SilentVmsDoNotBlockASuccessor() {
+    RateCoordinator coordinator;
+    coordinator.SetVms({"a", "gone"});
+    coordinator.Reset({"gone"}, At(0));
+    coordinator.OnReported("a", "a", At(10));
+    const AccountGrant grant =
+        coordinator.Assign("a", "account", {100, 100}, {50, {0, 0}, 0}, At(10));
+    CPPUNIT_ASSERT(grant.share.rate >=
+                   100 * RateCoordinator::kShareFraction *
+                           RateCoordinator::kMaximumVmFraction -
+                       1e-9);
+    const AccountGrant back = coordinator.Assign("gone", "account", {100, 100},
+                                                 {50, {0, 0}, 0}, At(20));
+    CPPUNIT_ASSERT(back.share == ShareAmount());
+  }
+
+  // Guards against a share that is given to another VM while the answer that
+  // lowers it is lost.
+  void LoweredShareCountsUntilItIsConfirmed() {
+    RateCoordinator coordinator;
+    coordinator.SetVms({"a", "b"});
+    coordinator.Reset({}, At(-20'000));
+    const AccountGrant first =
+        coordinator.Assign("a", "account", {100, 100}, {50, {0, 0}, 0}, At(0));
+    coordinator.Assign("b", "account", {100, 100}, {50, {0, 0}, 0}, At(10));
+    // The answer to this report does not arrive.
+    coordinator.Assign("a", "account", {100, 100}, {0, first.share, 0}, At(20));
+    const AccountGrant other =
+        coordinator.Assign("b", "account", {100, 100}, {50, {0, 0}, 0}, At(30));
+    CPPUNIT_ASSERT(other.share.rate + first.share.rate <=
+                   100 * RateCoordinator::kShareFraction + 1e-9);
+  }
+
+ private:
+  // Rates are set to about 1.6 times the usual demand.
+  static constexpr double kUsual = kRate / 1.6;
+
+  static kernel::Instant At(int ms) {
+    return kernel::Instant(std::chrono::hours(1) + milliseconds(ms));
+  }
+
+  static void AssertWithinLimit(const Fleet& fleet, const std::string& name) {
+    const double bound =
+        (kRate * 5 + kBurst) * (1 + kWindow.overrun) + kWindow.tolerance;
+    CPPUNIT_ASSERT_MESSAGE(name + " " + std::to_string(fleet.MostInAWindow()),
+                           fleet.MostInAWindow() <= bound);
+  }
+
+  void AssertServed(Fleet& fleet, double part) {
+    fleet.Run(std::chrono::seconds(10));
+    fleet.ForgetCounts();
+    fleet.Run(std::chrono::seconds(60));
+    CPPUNIT_ASSERT_MESSAGE(
+        std::to_string(fleet.Passed()) + " of " + std::to_string(fleet.Asked()),
+        fleet.Passed() >= part * fleet.Asked());
+    AssertWithinLimit(fleet, "");
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RateCoordinatorTest);
+
+}  // namespace
+}  // namespace laburnumkeel::limits
--- /dev/null
+++ b/tests/promotion/change_plan_test.cpp
@@ -0,0 +1,229 @@
+#include "laburnumkeel/promotion/change_plan.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <random>
+#include <string>
+
+namespace laburnumkeel::promotion {
+namespace {
+
+// A service of one primary and two replicas. A commit is acknowledged when one
+// replica that receives has it; replicas receive in order, at their own pace.
+class SimulatedService {
+ public:
+  explicit SimulatedService(unsigned seed) : random(seed) {}
+
+  // Something happens: a write, a transfer, or an endpoint becomes reachable or
+  // unreachable for the promoter.
+  void Step() {
+    switch (this->Draw(4)) {
+      case 0:
+        if (this->is_primary_up) {
+          ++this->primary_log;
+        }
+        return;
+      case 1:
+      case 2: {
+        const std::size_t replica = this->Draw(2);
+        if (this->is_primary_up && !this->paused.at(replica) &&
+            this->logs.at(replica) < this->primary_log) {
+          ++this->logs.at(replica);
+          this->acknowledged =
+              std::max(this->acknowledged, this->logs.at(replica));
+        }
+        return;
+      }
+      default:
+        this->reachable.at(this->Draw(3)) = this->Draw(3) > 0;
+    }
+  }
+
+  void Crash() { this->is_primary_up = false; }
+
+  // Reads the state of what can be reached.
+  void Refresh(ChangeView& view) {
+    view.members.resize(3);
+    static constexpr std::array<const char*, 3> kNames{"r0", "r1", "p"};
+    for (std::size_t index = 0; index < 3; ++index) {
+      ChangeMember& member = view.members.at(index);
+      member.id = kNames.at(index);
+      member.has_answered =
+          this->reachable.at(index) && (index < 2 || this->is_primary_up);
+      if (!member.has_answered) {
+        continue;
+      }
+      member.term = 1;
+      member.is_primary = index == 2;
+      member.received = {1,
+                         index < 2 ? this->logs.at(index) : this->primary_log};
+      member.paused_term = index < 2 && this->paused.at(index) ? 2 : 0;
+    }
+  }
+
+  void Take(const ChangeStep& step) {
+    if (step.action == ChangeAction::kPause) {
+      this->paused.at(step.endpoint == "r0" ? 0 : 1) = true;
+    } else if (step.action == ChangeAction::kResume) {
+      this->paused.at(step.endpoint == "r0" ? 0 : 1) = false;
+    }
+  }
+
+  std::uint64_t Log(const std::string& replica) const {
+    return this->logs.at(replica == "r0" ? 0 : 1);
+  }
+  std::uint64_t Acknowledged() const { return this->acknowledged; }
+  bool Receives(const std::string& replica) const {
+    return !this->paused.at(replica == "r0" ? 0 : 1);
+  }
+  void ReachAll() { this->reachable = {true, true, true}; }
+
+ private:
+  std::size_t Draw(std::size_t bound) { return this->random() % bound; }
+
+  std::mt19937 random;
+  std::array<std::uint64_t, 2> logs{};
+  std::array<bool, 2> paused{};
+  std::array<bool, 3> reachable{true, true, true};
+  std::uint64_t primary_log = 0;
+  std::uint64_t acknowledged = 0;
+  bool is_primary_up = true;
+};
+
+class ChangePlanTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ChangePlanTest);
+  CPPUNIT_TEST(WaitsForTheProofs);
+  CPPUNIT_TEST(WaitsForAReplicaOutOfReach);
+  CPPUNIT_TEST(SteppedDownPrimaryStandsInForAReplica);
+  CPPUNIT_TEST(PlannedChangePausesTheOtherReplicaFirst);
+  CPPUNIT_TEST(PlannedChangeAvoidsWhatHasToLeave);
+  CPPUNIT_TEST(FinishesWhatAPredecessorPromoted);
+  CPPUNIT_TEST(NoAcknowledgedCommitIsLostAfterACrash);
+  CPPUNIT_TEST(NoAcknowledgedCommitIsLostInAPlannedChange);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a promotion while another VM still reads from the former
+  // primary.
+  void WaitsForTheProofs() {
+    ChangeView view = CrashedView(5, 7);
+    view.proofs_lapsed = false;
+    CPPUNIT_ASSERT(NextStep(view) == ChangeStep());
+    view.proofs_lapsed = true;
+    CPPUNIT_ASSERT((NextStep(view) == ChangeStep{ChangeAction::kPromote, "b"}));
+  }
+
+  // Guards against losing a commit that only the replica out of reach holds.
+  void WaitsForAReplicaOutOfReach() {
+    ChangeView view = CrashedView(5, 7);
+    view.members[0].has_answered = false;
+    CPPUNIT_ASSERT(NextStep(view) == ChangeStep());
+  }
+
+  void SteppedDownPrimaryStandsInForAReplica() {
+    ChangeView view = CrashedView(5, 7);
+    view.members[0].has_answered = false;
+    view.members[2].has_answered = true;
+    view.members[2].received = {1, 7};
+    CPPUNIT_ASSERT((NextStep(view) == ChangeStep{ChangeAction::kPromote, "b"}));
+    view.members[2].received = {1, 8};
+    CPPUNIT_ASSERT(NextStep(view) == ChangeStep());
+  }
+
+  // Guards against a planned change in which a commit is confirmed only by the
+  // replica that does not take over.
+  void PlannedChangePausesTheOtherReplicaFirst() {
+    ChangeView view = CrashedView(5, 7);
+    view.is_planned = true;
+    view.members[0].paused_term = 0;
+    view.members[1].paused_term = 0;
+    CPPUNIT_ASSERT((NextStep(view) == ChangeStep{ChangeAction::kPause, "a"}));
+  }
+
+  // Guards against a primary in a data centre that is taken out of use.
+  void PlannedChangeAvoidsWhatHasToLeave() {
+    ChangeView view = CrashedView(7, 5);
+    view.is_planned = true;
+    view.members[0].paused_term = 0;
+    view.members[1].paused_term = 0;
+    view.members[0].is_eligible = false;
+    CPPUNIT_ASSERT((NextStep(view) == ChangeStep{ChangeAction::kPause, "a"}));
+    view.members[0].paused_term = 2;
+    CPPUNIT_ASSERT(NextStep(view) == ChangeStep());
+    view.members[1].received = {1, 7};
+    CPPUNIT_ASSERT((NextStep(view) == ChangeStep{ChangeAction::kPause, "b"}));
+  }
+
+  // Guards against a second promotion after the first holder was lost.
+  void FinishesWhatAPredecessorPromoted() {
+    ChangeView view = CrashedView(5, 7);
+    view.members[1].is_primary = true;
+    view.members[1].term = 2;
+    CPPUNIT_ASSERT((NextStep(view) == ChangeStep{ChangeAction::kPublish, "b"}));
+  }
+
+  void NoAcknowledgedCommitIsLostAfterACrash() { this->RunSeeds(false); }
+  void NoAcknowledgedCommitIsLostInAPlannedChange() { this->RunSeeds(true); }
+
+ private:
+  // Two paused replicas `a` and `b` and a primary `c` that does not answer.
+  static ChangeView CrashedView(std::uint64_t first, std::uint64_t second) {
+    ChangeView view;
+    view.former = "c";
+    view.next_term = 2;
+    view.proofs_lapsed = true;
+    view.members = {{"a", true, false, 1, {1, first}, 2, true},
+                    {"b", true, false, 1, {1, second}, 2, true},
+                    {"c", false, false, 0, {}, 0, true}};
+    return view;
+  }
+
+  // Random writes, transfers and cuts around a change. Guards against any
+  // order of steps in which an acknowledged commit is not in the log that is
+  // promoted, or can still be acknowledged afterwards.
+  void RunSeeds(bool is_planned) {
+    int promoted = 0;
+    for (unsigned seed = 1; seed <= 2000; ++seed) {
+      SimulatedService service(seed);
+      for (int step = 0; step < 40; ++step) {
+        service.Step();
+      }
+      if (!is_planned) {
+        service.Crash();
+      }
+      ChangeView view;
+      view.former = "p";
+      view.next_term = 2;
+      view.is_planned = is_planned;
+      view.proofs_lapsed = true;
+      for (int round = 0; round < 400; ++round) {
+        service.Step();
+        if (round > 200) {
+          service.ReachAll();
+        }
+        service.Refresh(view);
+        const ChangeStep step = NextStep(view);
+        if (step.action == ChangeAction::kPromote) {
+          ++promoted;
+          const std::string name = "seed " + std::to_string(seed);
+          CPPUNIT_ASSERT_MESSAGE(
+              name, service.Log(step.endpoint) >= service.Acknowledged());
+          CPPUNIT_ASSERT_MESSAGE(name, !service.Receives("r0"));
+          CPPUNIT_ASSERT_MESSAGE(name, !service.Receives("r1"));
+          break;
+        }
+        service.Take(step);
+      }
+    }
+    // Guards against a plan that is safe because it never promotes.
+    CPPUNIT_ASSERT(promoted > 1900);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ChangePlanTest);
+
+}  // namespace
+}  // namespace laburnumkeel::promotion
--- /dev/null
+++ b/tests/promotion/duty_lease_test.cpp
@@ -0,0 +1,97 @@
+#include "laburnumkeel/promotion/duty_lease.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace laburnumkeel::promotion {
+namespace {
+
+using std::chrono::milliseconds;
+
+class DutyLeaseTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DutyLeaseTest);
+  CPPUNIT_TEST(UnreadRecordIsNotClaimed);
+  CPPUNIT_TEST(HolderStopsBeforeARivalMayClaim);
+  CPPUNIT_TEST(RestartedRivalKnowsTheAgeOfTheRecord);
+  CPPUNIT_TEST(RestartedHolderClaimsAtOnce);
+  CPPUNIT_TEST(HandedBackDutyIsFree);
+  CPPUNIT_TEST(StaleReadingDoesNotShortenTheWait);
+  CPPUNIT_TEST(RivalsRecordEndsTheDuty);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against two holders after a start in a store outage.
+  void UnreadRecordIsNotClaimed() {
+    DutyLease lease("b");
+    CPPUNIT_ASSERT(!lease.MayClaim(At(60'000)));
+    lease.ObserveAbsent();
+    CPPUNIT_ASSERT(lease.MayClaim(At(60'000)));
+  }
+
+  // Guards against two VMs that rely on the duty at once: the answer of the
+  // holder's write may be slow, so it counts from the sending, and the rival
+  // from when it saw the record, a twentieth of clock drift included.
+  void HolderStopsBeforeARivalMayClaim() {
+    DutyLease holder("a");
+    DutyLease rival("b");
+    const DutyRecord record{"a", "10.0.0.1:1", 1, 500, {}};
+    holder.OnWritten(record, 10, At(0));
+    rival.Observe(record, 10, 500, At(0));
+    for (int ms = 0; ms < 7000; ms += 10) {
+      const bool held = holder.IsHeld(At(ms * 105 / 100));
+      const bool claimable = rival.MayClaim(At(ms));
+      CPPUNIT_ASSERT(!(held && claimable));
+    }
+    CPPUNIT_ASSERT(rival.MayClaim(At(5700)));
+  }
+
+  // Guards against a wait that begins anew with each restart while nobody
+  // holds the duty.
+  void RestartedRivalKnowsTheAgeOfTheRecord() {
+    DutyLease rival("b");
+    rival.Observe({"a", "10.0.0.1:1", 1, 10'000, {}}, 10, 15'800, At(0));
+    CPPUNIT_ASSERT(rival.MayClaim(At(0)));
+    DutyLease early("c");
+    early.Observe({"a", "10.0.0.1:1", 1, 10'000, {}}, 10, 14'000, At(0));
+    CPPUNIT_ASSERT(!early.MayClaim(At(0)));
+    CPPUNIT_ASSERT(early.MayClaim(At(1700)));
+  }
+
+  void RestartedHolderClaimsAtOnce() {
+    DutyLease lease("a");
+    lease.Observe({"a", "10.0.0.1:1", 1, 500, {}}, 10, 600, At(0));
+    CPPUNIT_ASSERT(!lease.IsHeld(At(0)));
+    CPPUNIT_ASSERT(lease.MayClaim(At(0)));
+  }
+
+  void HandedBackDutyIsFree() {
+    DutyLease lease("b");
+    lease.Observe({"", "", 1, 500, {}}, 10, 600, At(0));
+    CPPUNIT_ASSERT(lease.MayClaim(At(0)));
+  }
+
+  // Guards against an old row, read again after a newer one, that seems to have
+  // lapsed.
+  void StaleReadingDoesNotShortenTheWait() {
+    DutyLease rival("b");
+    rival.Observe({"a", "10.0.0.1:1", 1, 10'000, {}}, 20, 10'000, At(0));
+    rival.Observe({"a", "10.0.0.1:1", 1, 1'000, {}}, 10, 10'100, At(100));
+    CPPUNIT_ASSERT(!rival.MayClaim(At(200)));
+  }
+
+  void RivalsRecordEndsTheDuty() {
+    DutyLease holder("a");
+    holder.OnWritten({"a", "10.0.0.1:1", 1, 0, {}}, 10, At(0));
+    holder.Observe({"b", "10.0.0.2:1", 2, 0, {}}, 11, 0, At(10));
+    CPPUNIT_ASSERT(!holder.IsHeld(At(11)));
+  }
+
+ private:
+  static kernel::Instant At(int ms) {
+    return kernel::Instant(std::chrono::hours(1) + milliseconds(ms));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DutyLeaseTest);
+
+}  // namespace
+}  // namespace laburnumkeel::promotion
--- /dev/null
+++ b/tests/proxy/link.cmake
@@ -0,0 +1,1 @@
+set(extra_libraries laburnumkeel_proxy_program)
--- /dev/null
+++ b/tests/proxy/service_pool_test.cpp
@@ -0,0 +1,394 @@
+#include "programs/laburnumkeel-proxy/service_pool.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "platform/wire_codec.h"
+#include "programs/laburnumkeel-proxy/proxy_context.h"
+#include "tests/support/fake_database.h"
+
+namespace laburnumkeel::proxy {
+namespace {
+
+using statements::ErrorCode;
+using statements::StatementKind;
+using std::chrono::milliseconds;
+using testing::FakeDatabase;
+
+// A pool with a primary and a replica on loopback, and a paused clock.
+class ServicePoolTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ServicePoolTest);
+  CPPUNIT_TEST(LostAnswerOfAWriteIsUnknown);
+  CPPUNIT_TEST(RefusedWriteIsSentAgain);
+  CPPUNIT_TEST(FailedWriteIsNotSentAgain);
+  CPPUNIT_TEST(LostAnswerOfAReadMovesOn);
+  CPPUNIT_TEST(StrictReadNeedsAProof);
+  CPPUNIT_TEST(ProofIsCheckedAgainBeforeSending);
+  CPPUNIT_TEST(StaleReadCarriesItsPosition);
+  CPPUNIT_TEST(ReadWithoutAPositionIsNotSent);
+  CPPUNIT_TEST(SessionReadsItsOwnCommit);
+  CPPUNIT_TEST(AccountsDoNotShareAConnection);
+  CPPUNIT_TEST(TransactionKeepsItsConnection);
+  CPPUNIT_TEST(StatementIsNotSentUnlessTheTransactionBegan);
+  CPPUNIT_TEST(LostCommitIsUnknown);
+  CPPUNIT_TEST(LostTransactionIsAborted);
+  CPPUNIT_TEST(TimedOutStatementClosesItsConnection);
+  CPPUNIT_TEST(StatementThatCannotBeServedInTimeIsRefused);
+  CPPUNIT_TEST(EvacuatedDataCentreGetsNoReads);
+  CPPUNIT_TEST(HomeRegionsAreKept);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    this->context = std::make_unique<ProxyContext>(MakeSettings());
+    this->context->clock.Pause();
+    this->primary = std::make_unique<FakeDatabase>(this->context->loop);
+    this->replica = std::make_unique<FakeDatabase>(this->context->loop);
+    this->AddEndpoint("p", this->primary->Address(), "far");
+    this->AddEndpoint("r", this->replica->Address(), "near");
+    auto configuration = std::make_shared<model::ProxyConfiguration>();
+    configuration->services["s"] = {"s", 20, 0};
+    configuration->accounts["acc"] = {"acc", 100, 100, {}};
+    this->context->configuration = configuration;
+    this->context->primaries.Adopt({"s", "p", 1, false, 1});
+    this->pool = std::make_unique<ServicePool>(*this->context, "s");
+  }
+
+  void tearDown() override {
+    this->pool.reset();
+    this->primary.reset();
+    this->replica.reset();
+    this->context.reset();
+  }
+
+  // Guards against a write that runs twice, or a false promise.
+  void LostAnswerOfAWriteIsUnknown() {
+    this->primary->SetScript(
+        [](std::string_view) { return FakeDatabase::kReset; });
+    const JobResult result = this->Run(this->Write());
+    CPPUNIT_ASSERT(!result.reply && result.error == ErrorCode::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(1, this->primary->Count("WRITE"));
+  }
+
+  void RefusedWriteIsSentAgain() {
+    this->primary->SetScript([this](std::string_view line) -> std::string {
+      return this->primary->Count("WRITE") == 1
+                 ? "ERROR BUSY full\r\nREADY I 1.5\r\n"
+                 : this->primary->Succeed(line);
+    });
+    const JobResult result = this->Run(this->Write());
+    CPPUNIT_ASSERT(result.reply && result.reply->signature);
+    CPPUNIT_ASSERT_EQUAL(2, this->primary->Count("QUERY id WRITE 1 data"));
+  }
+
+  // Guards against repeating a write that ran before it failed.
+  void FailedWriteIsNotSentAgain() {
+    this->primary->SetScript([](std::string_view) {
+      return "ERROR FAILED disk\r\nREADY I 1.5\r\n";
+    });
+    const JobResult result = this->Run(this->Write());
+    CPPUNIT_ASSERT(result.reply->error == ErrorCode::kFailed);
+    CPPUNIT_ASSERT_EQUAL(1, this->primary->Count("WRITE"));
+  }
+
+  void LostAnswerOfAReadMovesOn() {
+    this->Prove();
+    this->AddSample();
+    this->replica->SetScript(
+        [](std::string_view) { return FakeDatabase::kReset; });
+    const JobResult result = this->Run(this->Read());
+    CPPUNIT_ASSERT(result.reply && result.reply->signature);
+    CPPUNIT_ASSERT_EQUAL(std::string("p"), result.endpoint_id);
+  }
+
+  // Guards against reading from a former primary that still answers.
+  void StrictReadNeedsAProof() {
+    const JobPointer job = this->StrictRead();
+    const JobResult result = this->Run(job);
+    CPPUNIT_ASSERT(result.error == ErrorCode::kBusy);
+    CPPUNIT_ASSERT_EQUAL(0, this->primary->Count("READ"));
+    this->Prove();
+    CPPUNIT_ASSERT(this->Run(this->StrictRead()).reply.has_value());
+  }
+
+  // Guards against a proof that lapses while the connection is being opened,
+  // as in a VM that was suspended.
+  void ProofIsCheckedAgainBeforeSending() {
+    this->Prove();
+    const JobPointer job = this->StrictRead();
+    std::optional<JobResult> result = this->Submit(job);
+    this->context->clock.Advance(routing::PrimaryTable::kProofLifetime);
+    this->Poll();
+    CPPUNIT_ASSERT_EQUAL(0, this->primary->Count("READ"));
+    this->FinishBy(job);
+  }
+
+  // Guards against a replica that answers from before the route's bound.
+  void StaleReadCarriesItsPosition() {
+    this->AddSample();
+    this->Run(this->Read());
+    CPPUNIT_ASSERT_EQUAL(1, this->replica->Count("WAITLSN 1.4 READ 1"));
+  }
+
+  void ReadWithoutAPositionIsNotSent() {
+    this->AddSample();
+    this->context->clock.Advance(std::chrono::seconds(3));
+    const JobResult result = this->Run(this->Read());
+    CPPUNIT_ASSERT(result.error == ErrorCode::kBusy);
+    CPPUNIT_ASSERT_EQUAL(0, this->replica->Count("READ"));
+    CPPUNIT_ASSERT_EQUAL(0, this->primary->Count("READ"));
+  }
+
+  void SessionReadsItsOwnCommit() {
+    this->AddSample();
+    const JobPointer job = this->Read();
+    job->session_position = model::LogPosition{1, 9};
+    job->session_committed = this->context->clock.Now();
+    this->Run(job);
+    CPPUNIT_ASSERT_EQUAL(1, this->replica->Count("WAITLSN 1.9 READ 1"));
+  }
+
+  // Guards against a statement that runs under another account's name.
+  void AccountsDoNotShareAConnection() {
+    this->AddSample();
+    this->Run(this->Read());
+    const JobPointer other = this->Read();
+    other->account = "other";
+    this->Run(other);
+    CPPUNIT_ASSERT_EQUAL(1, this->replica->Count("STARTUP s acc r"));
+    CPPUNIT_ASSERT_EQUAL(1, this->replica->Count("STARTUP s other r"));
+    for (const auto& [connection, line] : this->replica->Lines()) {
+      CPPUNIT_ASSERT(connection < 2);
+    }
+  }
+
+  // Guards against a transaction that is continued elsewhere, or that another
+  // client's statement enters.
+  void TransactionKeepsItsConnection() {
+    this->Prove();
+    const JobResult begun = this->Run(this->FirstOfTransaction());
+    CPPUNIT_ASSERT(begun.connection != nullptr);
+    this->Run(this->Write());
+    const JobPointer commit = this->Commit();
+    const JobResult ended = this->RunPinned(commit, begun.connection);
+    CPPUNIT_ASSERT(ended.reply && ended.connection == nullptr);
+    int transaction = -1;
+    for (const auto& [connection, line] : this->primary->Lines()) {
+      if (line.find("BEGIN") != std::string::npos) {
+        transaction = connection;
+      }
+      if (line.find("COMMIT") != std::string::npos) {
+        CPPUNIT_ASSERT_EQUAL(transaction, connection);
+      }
+      if (line.find("WRITE 1 data") != std::string::npos) {
+        CPPUNIT_ASSERT(connection != transaction);
+      }
+    }
+  }
+
+  // Guards against a statement that runs by itself because the transaction
+  // before it was refused.
+  void StatementIsNotSentUnlessTheTransactionBegan() {
+    this->Prove();
+    this->primary->SetScript(
+        [](std::string_view) { return "ERROR READONLY r\r\nREADY I 1.5\r\n"; });
+    const JobResult result = this->Run(this->FirstOfTransaction());
+    CPPUNIT_ASSERT(!result.reply);
+    CPPUNIT_ASSERT(this->primary->Count("BEGIN") > 0);
+    CPPUNIT_ASSERT_EQUAL(0, this->primary->Count("READ 1"));
+  }
+
+  // Guards against telling a client that nothing was kept.
+  void LostCommitIsUnknown() {
+    this->Prove();
+    const JobResult begun = this->Run(this->FirstOfTransaction());
+    this->primary->SetScript(
+        [](std::string_view) { return FakeDatabase::kReset; });
+    const JobResult ended = this->RunPinned(this->Commit(), begun.connection);
+    CPPUNIT_ASSERT(!ended.reply && ended.error == ErrorCode::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(1, this->primary->Count("COMMIT"));
+  }
+
+  void LostTransactionIsAborted() {
+    this->Prove();
+    const JobResult begun = this->Run(this->FirstOfTransaction());
+    this->primary->SetScript(
+        [](std::string_view) { return FakeDatabase::kReset; });
+    const JobPointer write = this->Write();
+    const JobResult ended = this->RunPinned(write, begun.connection);
+    CPPUNIT_ASSERT(!ended.reply && ended.error == ErrorCode::kAborted);
+  }
+
+  // Guards against a late answer that is taken for that of the next statement.
+  void TimedOutStatementClosesItsConnection() {
+    this->primary->SetScript(
+        [](std::string_view) { return FakeDatabase::kSilence; });
+    const JobResult result = this->Run(this->Write());
+    CPPUNIT_ASSERT(result.error == ErrorCode::kTimeout);
+    this->primary->SetScript(nullptr);
+    this->context->clock.Advance(std::chrono::seconds(5));
+    this->Run(this->Write());
+    CPPUNIT_ASSERT_EQUAL(2, this->primary->Connections());
+    CPPUNIT_ASSERT_EQUAL(2, this->primary->Count("WRITE 1 data"));
+  }
+
+  // Load pattern: the primary is being replaced, which takes longer than the
+  // statement has. Guards against holding it to the end.
+  void StatementThatCannotBeServedInTimeIsRefused() {
+    this->context->primaries.Adopt({"s", "p", 1, true, 2});
+    this->pool->OnDirectoryChanged();
+    const JobPointer job = this->StrictRead();
+    const std::optional<JobResult> result = this->Submit(job);
+    CPPUNIT_ASSERT(this->finished.has_value());
+    CPPUNIT_ASSERT(this->finished->error == ErrorCode::kBusy);
+  }
+
+  void EvacuatedDataCentreGetsNoReads() {
+    this->Prove();
+    this->AddSample();
+    this->context->evacuated["near"] = this->context->clock.Now();
+    this->Run(this->Read());
+    CPPUNIT_ASSERT_EQUAL(0, this->replica->Connections());
+    // The primary keeps its work until shortly before the bound.
+    this->context->evacuated["far"] = this->context->clock.Now();
+    CPPUNIT_ASSERT(this->Run(this->Write()).reply.has_value());
+    this->context->clock.Advance(milliseconds(4001));
+    this->Prove();
+    CPPUNIT_ASSERT(this->Run(this->Write()).error == ErrorCode::kBusy);
+  }
+
+  void HomeRegionsAreKept() {
+    this->Prove();
+    this->AddSample();
+    const JobPointer job = this->Read();
+    job->route.allowed_regions = {"region-far"};
+    CPPUNIT_ASSERT_EQUAL(std::string("p"), this->Run(job).endpoint_id);
+    const JobPointer account = this->Write();
+    account->account_regions = {"region-near"};
+    CPPUNIT_ASSERT(this->Run(account).error == ErrorCode::kBusy);
+  }
+
+ private:
+  static platform_adapter::ProxySettings MakeSettings() {
+    platform_adapter::ProxySettings settings;
+    settings.vm = "vm";
+    settings.data_centre = "near";
+    settings.region = "region-near";
+    settings.regions = {{"near", "region-near"}, {"far", "region-far"}};
+    return settings;
+  }
+
+  void AddEndpoint(const std::string& id, const std::string& address,
+                   const std::string& data_centre) {
+    model::DatabaseEndpoint endpoint;
+    endpoint.id = id;
+    endpoint.service = "s";
+    endpoint.address = address;
+    endpoint.data_centre = data_centre;
+    endpoint.slots = 3;
+    this->context->endpoints[id] = endpoint;
+  }
+
+  void Prove() {
+    this->context->primaries.ConfirmAll(100, this->context->clock.Now());
+  }
+  void AddSample() {
+    this->pool->AddSample({1, 4}, this->context->clock.Now());
+  }
+
+  JobPointer MakeJob(JobKind kind, StatementKind statement,
+                     const std::string& text) {
+    auto job = std::make_shared<StatementJob>();
+    job->kind = kind;
+    job->statement.kind = statement;
+    job->statement.id = "id";
+    job->statement.text = text;
+    job->account = "acc";
+    job->route.service = "s";
+    job->route.consistency = model::ReadConsistency::kReadYourWrites;
+    job->route.max_staleness = milliseconds(2500);
+    job->arrived = this->context->clock.Now();
+    job->deadline = job->arrived + milliseconds(1000);
+    return job;
+  }
+  JobPointer Write() {
+    return this->MakeJob(JobKind::kWrite, StatementKind::kWrite,
+                         "WRITE 1 data");
+  }
+  JobPointer Read() {
+    return this->MakeJob(JobKind::kRead, StatementKind::kRead, "READ 1");
+  }
+  JobPointer StrictRead() {
+    JobPointer job =
+        this->MakeJob(JobKind::kStrictRead, StatementKind::kRead, "READ 1");
+    job->route.consistency = model::ReadConsistency::kPrimary;
+    return job;
+  }
+  JobPointer FirstOfTransaction() {
+    JobPointer job = this->StrictRead();
+    job->opens_transaction = true;
+    return job;
+  }
+  JobPointer Commit() {
+    return this->MakeJob(JobKind::kStrictRead, StatementKind::kCommit,
+                         "COMMIT");
+  }
+
+  std::optional<JobResult> Submit(const JobPointer& job) {
+    this->finished.reset();
+    job->done = [this](JobResult result) {
+      this->finished = std::move(result);
+    };
+    this->pool->Submit(job);
+    return this->finished;
+  }
+
+  JobResult Run(const JobPointer& job) {
+    this->Submit(job);
+    return this->FinishBy(job);
+  }
+
+  JobResult RunPinned(const JobPointer& job,
+                      const std::shared_ptr<EndpointConnection>& connection) {
+    this->finished.reset();
+    job->done = [this](JobResult result) {
+      this->finished = std::move(result);
+    };
+    this->pool->SubmitPinned(job, connection);
+    return this->FinishBy(job);
+  }
+
+  // Lets messages arrive, and the time pass until the job has ended.
+  JobResult FinishBy(const JobPointer& job) {
+    for (int tick = 0; tick < 80 && !this->finished; ++tick) {
+      this->Poll();
+      if (!this->finished) {
+        this->context->clock.Advance(milliseconds(25));
+        this->pool->Tick(this->context->clock.Now());
+      }
+    }
+    CPPUNIT_ASSERT_MESSAGE(job->statement.text, this->finished.has_value());
+    return *this->finished;
+  }
+
+  // Runs all that is ready; loopback needs a moment between the two sides.
+  void Poll() {
+    this->context->loop.restart();
+    this->context->loop.run_for(milliseconds(4));
+  }
+
+  std::unique_ptr<ProxyContext> context;
+  std::unique_ptr<FakeDatabase> primary;
+  std::unique_ptr<FakeDatabase> replica;
+  std::unique_ptr<ServicePool> pool;
+  std::optional<JobResult> finished;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServicePoolTest);
+
+}  // namespace
+}  // namespace laburnumkeel::proxy
--- /dev/null
+++ b/tests/routing/primary_table_test.cpp
@@ -0,0 +1,84 @@
+#include "laburnumkeel/routing/primary_table.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace laburnumkeel::routing {
+namespace {
+
+using std::chrono::milliseconds;
+
+class PrimaryTableTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PrimaryTableTest);
+  CPPUNIT_TEST(ProofLapses);
+  CPPUNIT_TEST(AnnouncedChangeIsNotConfirmed);
+  CPPUNIT_TEST(ProofFromBeforeTheAnnouncementStillHolds);
+  CPPUNIT_TEST(NewPrimaryNeedsItsOwnProof);
+  CPPUNIT_TEST(OlderRecordChangesNothing);
+  CPPUNIT_TEST(LateConfirmationOfAnOlderVersionIsIgnored);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a VM that is cut off and goes on reading from a former
+  // primary.
+  void ProofLapses() {
+    this->table.Adopt({"s", "a", 1, false, 1});
+    CPPUNIT_ASSERT(!this->table.IsProven("s", At(0)));
+    this->table.ConfirmAll(1, At(0));
+    CPPUNIT_ASSERT(this->table.IsProven("s", At(1499)));
+    CPPUNIT_ASSERT(!this->table.IsProven("s", At(1500)));
+  }
+
+  // Guards against proofs that outlive the promoter's wait.
+  void AnnouncedChangeIsNotConfirmed() {
+    this->table.Adopt({"s", "a", 1, false, 1});
+    this->table.ConfirmAll(1, At(0));
+    this->table.Adopt({"s", "a", 1, true, 2});
+    this->table.ConfirmAll(2, At(1000));
+    CPPUNIT_ASSERT(!this->table.IsProven("s", At(1500)));
+  }
+
+  // Guards against a pause of reads while the former primary still leads.
+  void ProofFromBeforeTheAnnouncementStillHolds() {
+    this->table.Adopt({"s", "a", 1, false, 1});
+    this->table.ConfirmAll(1, At(0));
+    this->table.Adopt({"s", "a", 1, true, 2});
+    CPPUNIT_ASSERT(this->table.IsProven("s", At(1400)));
+  }
+
+  void NewPrimaryNeedsItsOwnProof() {
+    this->table.Adopt({"s", "a", 1, false, 1});
+    this->table.ConfirmAll(1, At(0));
+    this->table.Adopt({"s", "b", 2, false, 3});
+    CPPUNIT_ASSERT(!this->table.IsProven("s", At(1)));
+    this->table.ConfirmAll(3, At(5));
+    CPPUNIT_ASSERT(this->table.IsProven("s", At(6)));
+  }
+
+  // Guards against a stale reading of the store that brings a former primary
+  // back.
+  void OlderRecordChangesNothing() {
+    this->table.Adopt({"s", "b", 2, false, 3});
+    CPPUNIT_ASSERT(!this->table.Adopt({"s", "a", 1, false, 1}));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), this->table.Find("s")->endpoint_id);
+  }
+
+  // Guards against an answer that was overtaken by a newer publication.
+  void LateConfirmationOfAnOlderVersionIsIgnored() {
+    this->table.Adopt({"s", "b", 2, false, 3});
+    this->table.ConfirmAll(2, At(0));
+    this->table.Confirm("s", 2, At(0));
+    CPPUNIT_ASSERT(!this->table.IsProven("s", At(1)));
+  }
+
+ private:
+  static kernel::Instant At(int ms) {
+    return kernel::Instant(std::chrono::hours(1) + milliseconds(ms));
+  }
+
+  PrimaryTable table;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PrimaryTableTest);
+
+}  // namespace
+}  // namespace laburnumkeel::routing
--- /dev/null
+++ b/tests/support/fake_database.h
@@ -0,0 +1,117 @@
+#ifndef LABURNUMKEEL_TESTS_SUPPORT_FAKE_DATABASE_H_
+#define LABURNUMKEEL_TESTS_SUPPORT_FAKE_DATABASE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "laburnumkeel/transport/line_stream.h"
+
+namespace laburnumkeel::testing {
+
+// An endpoint on loopback that records what it is sent and answers as a test
+// says.
+class FakeDatabase {
+ public:
+  // Returns the bytes to answer a line with; `kSilence` for none, `kReset` to
+  // end the connection.
+  using Script = std::function<std::string(std::string_view line)>;
+  static constexpr const char* kSilence = "";
+  static constexpr const char* kReset = "reset";
+
+  explicit FakeDatabase(boost::asio::io_context& loop)
+      : loop(loop),
+        acceptor(loop, boost::asio::ip::tcp::endpoint(
+                           boost::asio::ip::address_v4::loopback(), 0)) {
+    this->Accept();
+  }
+
+  std::string Address() const {
+    return "127.0.0.1:" +
+           std::to_string(this->acceptor.local_endpoint().port());
+  }
+
+  // Replaces the answers to all lines but STARTUP.
+  void SetScript(Script new_script) { this->script = std::move(new_script); }
+
+  // All lines, each preceded by the number of its connection.
+  const std::vector<std::pair<int, std::string>>& Lines() const {
+    return this->lines;
+  }
+
+  // Lines that contain `text`.
+  int Count(std::string_view text) const {
+    int count = 0;
+    for (const auto& [connection, line] : this->lines) {
+      count += line.find(text) != std::string::npos ? 1 : 0;
+    }
+    return count;
+  }
+
+  int Connections() const { return static_cast<int>(this->streams.size()); }
+
+  // The usual answers: success, with the state that fits the statement.
+  std::string Succeed(std::string_view line) {
+    const auto is = [&](std::string_view word) {
+      return line.find(word) != std::string_view::npos;
+    };
+    if (is(" BEGIN")) {
+      this->in_transaction = true;
+    }
+    if (is(" COMMIT") || is(" ROLLBACK")) {
+      this->in_transaction = false;
+    }
+    const std::string state = this->in_transaction ? "T" : "I";
+    return "COMPLETE sig\r\nREADY " + state + " 1.5\r\n";
+  }
+
+ private:
+  void Accept() {
+    this->acceptor.async_accept([this](boost::system::error_code error,
+                                       boost::asio::ip::tcp::socket socket) {
+      if (error) {
+        return;
+      }
+      const int number = static_cast<int>(this->streams.size());
+      auto stream = std::make_shared<transport::LineStream>(std::move(socket));
+      this->streams.push_back(stream);
+      stream->Start(
+          [this, number, weak = std::weak_ptr(stream)](std::string_view line) {
+            this->lines.emplace_back(number, line);
+            this->Answer(*weak.lock(), line);
+          },
+          [] {});
+      this->Accept();
+    });
+  }
+
+  void Answer(transport::LineStream& stream, std::string_view line) {
+    if (line.starts_with("STARTUP")) {
+      stream.Write("READY I 1.5\r\n");
+      return;
+    }
+    const std::string answer =
+        this->script ? this->script(line) : this->Succeed(line);
+    if (answer == kReset) {
+      stream.Close();
+    } else if (!answer.empty()) {
+      stream.Write(answer);
+    }
+  }
+
+  boost::asio::io_context& loop;
+  boost::asio::ip::tcp::acceptor acceptor;
+  Script script;
+  std::vector<std::shared_ptr<transport::LineStream>> streams;
+  std::vector<std::pair<int, std::string>> lines;
+  bool in_transaction = false;
+};
+
+}  // namespace laburnumkeel::testing
+
+#endif  // LABURNUMKEEL_TESTS_SUPPORT_FAKE_DATABASE_H_
