Let the simulated VM refuse only what its report had asked for

Cause: the test's VM dropped waiting operations with any answer, also with one to an earlier report; the program keeps them, so the three failures were the test's. Its bounds are unchanged. Ruled out: lost operations in the coordinator.

--- a/tests/limits/rate_coordinator_test.cpp
+++ b/tests/limits/rate_coordinator_test.cpp
@@ -54,7 +54,7 @@
   // A VM's process starts again and knows nothing.
   void Restart(int vm) {
     this->vms.at(vm).allowance = AccountAllowance();
-    this->vms.at(vm).waiting = 0;
+    this->vms.at(vm).waiting.clear();
   }
 
   void Run(std::chrono::seconds time) {
@@ -97,7 +97,7 @@
   struct Vm {
     AccountAllowance allowance;
     double demand = 0;
-    int waiting = 0;
+    std::deque<kernel::Instant> waiting;
     bool is_cut = false;
     kernel::Instant next_report;
     std::deque<Answer> answers;
@@ -118,11 +118,14 @@
       const Answer answer = vm.answers.front();
       vm.answers.pop_front();
       vm.allowance.OnGrant(answer.grant, answer.sent, this->now);
-      while (vm.waiting > 0 && vm.allowance.TryPass(this->now)) {
-        --vm.waiting;
+      while (!vm.waiting.empty() && vm.allowance.TryPass(this->now)) {
+        vm.waiting.pop_front();
         this->passed.push_back(this->now);
       }
-      vm.waiting = 0;
+      // What was asked for with this report and not granted is refused.
+      while (!vm.waiting.empty() && vm.waiting.front() <= answer.sent) {
+        vm.waiting.pop_front();
+      }
     }
     if (this->Chance(vm.demand *
                      std::chrono::duration<double>(kStep).count())) {
@@ -131,7 +134,7 @@
       if (vm.allowance.TryPass(this->now)) {
         this->passed.push_back(this->now);
       } else {
-        ++vm.waiting;
+        vm.waiting.push_back(this->now);
         vm.next_report = std::min(vm.next_report, this->now);
       }
     }
@@ -152,7 +155,8 @@
     this->coordinator.OnReported(name, name, handled);
     const AccountGrant grant = this->coordinator.Assign(
         name, "account", this->limit,
-        vm.allowance.Report(vm.waiting, this->now), handled);
+        vm.allowance.Report(static_cast<int>(vm.waiting.size()), this->now),
+        handled);
     if (!this->Chance(this->loss)) {
       vm.answers.push_back({handled + kOneWay, this->now, grant});
     }
