Claim the duty only after a recent reading

Cause: VMs that the holder answers do not read the duty's row, so 5.7 s after the last reading each of them took it for lapsed and tried to claim it: a write and a reading from every VM every 6 s. Endpoint and operator rows that change in quick succession are read together.

--- a/programs/laburnumkeel-proxy/primary_duty.cpp
+++ b/programs/laburnumkeel-proxy/primary_duty.cpp
@@ -62,7 +62,7 @@
 void PrimaryDuty::OnDutyRow(const promotion::DutyRecord* record,
                             std::uint64_t version, std::int64_t store_now_ms) {
   if (record == nullptr) {
-    this->lease.ObserveAbsent();
+    this->lease.ObserveAbsent(this->context.clock.Now());
     return;
   }
   this->lease.Observe(*record, version, store_now_ms,
--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -27,6 +27,9 @@
 // A departed endpoint has to be left within several seconds.
 constexpr milliseconds kEndpointPause{700};
 constexpr milliseconds kEndpointAge{2000};
+// A fraction of the bounds within which configurations and departures count.
+constexpr milliseconds kOperatorHintPause{400};
+constexpr milliseconds kEndpointHintPause{1000};
 // A holder that is silent for this long is asked no more; the store is.
 constexpr milliseconds kHolderSilence{900};
 // Several readings fit into the lifetime of a proof.
@@ -50,10 +53,12 @@
       write_channel(context.loop, context.settings.store_address) {
   this->operator_rows.table = platform_adapter::kOperatorTable;
   this->operator_rows.maximum_age = kOperatorAge;
+  this->operator_rows.hint_pause = kOperatorHintPause;
   this->operator_rows.duty_pause = milliseconds(0);
   this->operator_rows.duty_wait = kFeedWait;
   this->endpoint_rows.table = platform_adapter::kEndpointTable;
   this->endpoint_rows.maximum_age = kEndpointAge;
+  this->endpoint_rows.hint_pause = kEndpointHintPause;
   this->endpoint_rows.duty_pause = kEndpointPause;
   this->endpoint_rows.duty_wait = milliseconds(0);
   for (Follower* follower : {&this->operator_rows, &this->endpoint_rows}) {
@@ -200,9 +205,8 @@
   const Instant now = this->context.clock.Now();
   follower.version = std::max(follower.version, rows->store_version);
   follower.state.read_at = now;
-  if (follower.version < follower.hint.version) {
-    // The store answered with an older state than another VM has seen.
-    follower.retry_at = now + kFailurePause;
+  if (!this->holds_duty) {
+    follower.retry_at = now + follower.hint_pause;
   }
   if (has_changed) {
     this->observers.on_change();
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -100,6 +100,9 @@
     std::string table;
     // Without a reading for this long, the table is read.
     kernel::Duration maximum_age;
+    // Between readings that other VMs' changes cause, so that changes in quick
+    // succession are read together.
+    std::chrono::milliseconds hint_pause;
     // While holding the duty: pause between calls, and how long the store
     // holds a call without changes.
     std::chrono::milliseconds duty_pause;
--- a/src/laburnumkeel/promotion/duty_lease.cpp
+++ b/src/laburnumkeel/promotion/duty_lease.cpp
@@ -6,7 +6,7 @@
 
 void DutyLease::Observe(const DutyRecord& new_record, std::uint64_t new_version,
                         std::int64_t store_now_ms, kernel::Instant now) {
-  this->was_read = true;
+  this->read_at = now;
   if (new_version < this->version) {
     return;
   }
@@ -24,7 +24,7 @@
   }
 }
 
-void DutyLease::ObserveAbsent() { this->was_read = true; }
+void DutyLease::ObserveAbsent(kernel::Instant now) { this->read_at = now; }
 
 void DutyLease::OnWritten(const DutyRecord& new_record,
                           std::uint64_t new_version, kernel::Instant sent) {
@@ -36,7 +36,9 @@
 }
 
 bool DutyLease::MayClaim(kernel::Instant now) const {
-  if (!this->was_read || this->IsHeld(now)) {
+  const bool was_read_recently =
+      this->read_at && now < *this->read_at + kReadingLifetime;
+  if (!was_read_recently || this->IsHeld(now)) {
     return false;
   }
   if (!this->record || this->record->holder.empty() ||
--- a/src/laburnumkeel/promotion/duty_lease.h
+++ b/src/laburnumkeel/promotion/duty_lease.h
@@ -42,6 +42,8 @@
   static constexpr std::chrono::milliseconds kTakeOverDelay{5700};
   // Five renewals in a lifetime.
   static constexpr std::chrono::milliseconds kRenewalPeriod{1000};
+  // Two readings of the store.
+  static constexpr std::chrono::milliseconds kReadingLifetime{1000};
 
   explicit DutyLease(std::string vm) : vm(std::move(vm)) {}
 
@@ -51,7 +53,7 @@
                std::int64_t store_now_ms, kernel::Instant now);
 
   // No record exists.
-  void ObserveAbsent();
+  void ObserveAbsent(kernel::Instant now);
 
   // A write of this VM, sent at `sent`, made `record` current.
   void OnWritten(const DutyRecord& record, std::uint64_t version,
@@ -63,8 +65,8 @@
   // The holder can rely on the duty until then; zero when it is not held.
   kernel::Instant HeldUntil() const { return this->held_until; }
 
-  // True when this VM may write itself as the holder. A restarted process of
-  // the same VM need not wait: its predecessor is gone.
+  // True when this VM may write itself as the holder, by a recent reading. A
+  // restarted process of the same VM need not wait: its predecessor is gone.
   bool MayClaim(kernel::Instant now) const;
 
   const std::optional<DutyRecord>& Record() const { return this->record; }
@@ -74,7 +76,7 @@
   const std::string vm;
   std::optional<DutyRecord> record;
   std::uint64_t version = 0;
-  bool was_read = false;
+  std::optional<kernel::Instant> read_at;
   kernel::Instant changed_at;
   kernel::Instant held_until;
 };
--- a/tests/promotion/duty_lease_test.cpp
+++ b/tests/promotion/duty_lease_test.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST_SUITE(DutyLeaseTest);
   CPPUNIT_TEST(UnreadRecordIsNotClaimed);
   CPPUNIT_TEST(HolderStopsBeforeARivalMayClaim);
+  CPPUNIT_TEST(OldReadingIsNoReasonToClaim);
   CPPUNIT_TEST(RestartedRivalKnowsTheAgeOfTheRecord);
   CPPUNIT_TEST(RestartedHolderClaimsAtOnce);
   CPPUNIT_TEST(HandedBackDutyIsFree);
@@ -23,7 +24,7 @@
   void UnreadRecordIsNotClaimed() {
     DutyLease lease("b");
     CPPUNIT_ASSERT(!lease.MayClaim(At(60'000)));
-    lease.ObserveAbsent();
+    lease.ObserveAbsent(At(60'000));
     CPPUNIT_ASSERT(lease.MayClaim(At(60'000)));
   }
 
@@ -37,11 +38,20 @@
     holder.OnWritten(record, 10, At(0));
     rival.Observe(record, 10, 500, At(0));
     for (int ms = 0; ms < 7000; ms += 10) {
+      rival.Observe(record, 10, 500 + ms, At(ms));
       const bool held = holder.IsHeld(At(ms * 105 / 100));
       const bool claimable = rival.MayClaim(At(ms));
       CPPUNIT_ASSERT(!(held && claimable));
     }
-    CPPUNIT_ASSERT(rival.MayClaim(At(5700)));
+    CPPUNIT_ASSERT(rival.MayClaim(At(7000)));
+  }
+
+  // Guards against a write of every VM each time that the last reading grows
+  // old while the holder answers them directly.
+  void OldReadingIsNoReasonToClaim() {
+    DutyLease rival("b");
+    rival.Observe({"a", "10.0.0.1:1", 1, 500, {}}, 10, 500, At(0));
+    CPPUNIT_ASSERT(!rival.MayClaim(At(30'000)));
   }
 
   // Guards against a wait that begins anew with each restart while nobody
@@ -53,6 +63,8 @@
     DutyLease early("c");
     early.Observe({"a", "10.0.0.1:1", 1, 10'000, {}}, 10, 14'000, At(0));
     CPPUNIT_ASSERT(!early.MayClaim(At(0)));
+    early.Observe({"a", "10.0.0.1:1", 1, 10'000, {}}, 10, 15'000, At(1000));
+    CPPUNIT_ASSERT(!early.MayClaim(At(1690)));
     CPPUNIT_ASSERT(early.MayClaim(At(1700)));
   }
 
