Withdraw a change of primary that cannot go on

Cause: a holder that loses the primary and a replica from sight announced a change, paused the other replica and waited, while other VMs could still reach the primary; strict reads stopped until the cut healed. The change now needs all replicas' answers before it pauses any, and is withdrawn after 2.5 s without.

--- a/programs/laburnumkeel-proxy/client_session.cpp
+++ b/programs/laburnumkeel-proxy/client_session.cpp
@@ -146,7 +146,7 @@
     this->environment.context.request_log.Write(
         kSessionRefused, this->environment.context.clock.Now(),
         {{"database", this->database},
-         {"code", static_cast<int>(code)},
+         {"code", ToString(code)},
          {"reason", text}});
     this->stream->Write(platform_adapter::EncodeError(code, text));
     this->End();
@@ -186,7 +186,7 @@
        {"database", this->database},
        {"service", this->route.service},
        {"account", this->account},
-       {"code", static_cast<int>(code)},
+       {"code", ToString(code)},
        {"reason", text},
        {"configuration",
         context.configuration ? context.configuration->version : 0},
--- a/programs/laburnumkeel-proxy/events.h
+++ b/programs/laburnumkeel-proxy/events.h
@@ -56,7 +56,7 @@
 inline constexpr EventDefinition kChangeStep{
     6524, Severity::kInformation, "change_step",
     "a step of a change of primary was taken"};
-inline constexpr EventDefinition kChangeEnded{2125, Severity::kInformation,
+inline constexpr EventDefinition kChangeEnded{6525, Severity::kInformation,
                                               "change_ended",
                                               "a change of primary is over"};
 inline constexpr EventDefinition kStatementRefused{
--- a/programs/laburnumkeel-proxy/main.cpp
+++ b/programs/laburnumkeel-proxy/main.cpp
@@ -1,18 +1,41 @@
+#include <fcntl.h>
 #include <glog/logging.h>
+#include <unistd.h>
 
 #include <cstdio>
-#include <cstdlib>
 #include <string>
+#include <utility>
 
+#include "laburnumkeel/kernel/settings.h"
 #include "platform/settings.h"
 #include "programs/laburnumkeel-proxy/proxy.h"
 
+namespace {
+
+constexpr int kInvalidSettings = 2;
+
+// Log lines go to standard output. When its reader falls behind, lines are lost
+// instead of holding up the event loop.
+void StartLog(const char* program) {
+  google::InitGoogleLogging(program);
+  FLAGS_logtostdout = true;
+  std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
+  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags >= 0) {
+    fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
+}  // namespace
+
 int main(int argument_count, char** arguments) {
-  google::InitGoogleLogging(arguments[0]);
-  FLAGS_logtostderr = true;
-  std::string path = argument_count > 1 ? arguments[1] : "";
-  if (const char* variable = std::getenv("LABURNUMKEEL_CONFIG")) {
-    path = variable;
+  std::string path;
+  laburnumkeel::kernel::Settings flags(
+      "laburnumkeel-proxy",
+      "Serves clients of a platform's databases from one event loop.");
+  flags.AddText("config", path, 1, "settings file of the VM (JSON)");
+  if (const auto exit_code = flags.Parse(argument_count, arguments)) {
+    return *exit_code;
   }
   laburnumkeel::platform_adapter::SettingsResult result =
       laburnumkeel::platform_adapter::ReadSettingsFile(path);
@@ -20,8 +43,9 @@
     for (const std::string& fault : result.faults) {
       std::fprintf(stderr, "invalid setting: %s\n", fault.c_str());
     }
-    return 2;
+    return kInvalidSettings;
   }
+  StartLog(arguments[0]);
   laburnumkeel::proxy::Proxy proxy(std::move(*result.settings), path);
   return proxy.Run();
 }
--- a/programs/laburnumkeel-proxy/primary_duty.cpp
+++ b/programs/laburnumkeel-proxy/primary_duty.cpp
@@ -28,6 +28,8 @@
 // failed. A wrong suspicion costs a change of primary, not a promise.
 constexpr milliseconds kDoubt{800};
 constexpr milliseconds kSuspicion{1200};
+// An announced change that cannot go on is withdrawn after this time.
+constexpr milliseconds kTentativeTime{2500};
 constexpr milliseconds kReplicaAskPeriod{800};
 constexpr milliseconds kMemberAskPeriod{100};
 // The duty has to hold for that much longer when the platform is asked to
@@ -427,28 +429,50 @@
   }
   const routing::PrimaryRecord& record = *this->context.primaries.Find(service);
   const Instant heard = this->find_pool(service).LastHeard(record.endpoint_id);
-  if (heard <= change.started) {
-    change.is_tentative = now < watch.last_answer + kSuspicion;
-    return change.is_tentative;
+  if (heard > change.started) {
+    this->CancelChange(service, watch, "the primary answers again");
+    return true;
+  }
+  if (now < watch.last_answer + kSuspicion) {
+    return true;
+  }
+  const bool all_replicas_answer =
+      std::all_of(this->context.endpoints.begin(),
+                  this->context.endpoints.end(), [&](const auto& entry) {
+                    return entry.second.service != service ||
+                           entry.first == record.endpoint_id ||
+                           change.members[entry.first].has_answered;
+                  });
+  if (all_replicas_answer) {
+    change.is_tentative = false;
+    return false;
+  }
+  // Without all replicas the change could not be completed, while other VMs may
+  // still reach the primary.
+  if (now >= change.started + kTentativeTime) {
+    this->CancelChange(service, watch, "a replica does not answer");
   }
-  change.is_publishing = true;
+  return true;
+}
+
+void PrimaryDuty::CancelChange(const std::string& service, ServiceWatch& watch,
+                               const std::string& reason) {
+  const routing::PrimaryRecord& record = *this->context.primaries.Find(service);
+  watch.change->is_publishing = true;
   this->WritePrimary(
       {service, record.endpoint_id, record.term, false, 0},
-      [this, service, heard](bool is_done) {
+      [this, service, reason](bool is_done) {
         const auto found = this->watches.find(service);
         if (found == this->watches.end() || !found->second.change) {
           return;
         }
         found->second.change->is_publishing = false;
         if (is_done) {
-          LogEvent(kChangeEnded, {{"service", service},
-                                  {"reason", "the primary answers again"}});
-          found->second.last_answer =
-              std::max(found->second.last_answer, heard);
+          LogEvent(kChangeEnded, {{"service", service}, {"reason", reason}});
+          found->second.last_answer = this->context.clock.Now();
           found->second.change.reset();
         }
       });
-  return true;
 }
 
 void PrimaryDuty::AskReplicas(const std::string& service, Instant now) {
@@ -510,7 +534,14 @@
   if (view.next_term == 0) {
     return;
   }
-  this->TakeStep(service, watch, promotion::NextStep(view), now);
+  const ChangeStep step = promotion::NextStep(view);
+  const bool touches_replica = step.action == ChangeAction::kPause ||
+                               step.action == ChangeAction::kResume;
+  if (!change.promoting.empty() && touches_replica) {
+    // The platform is carrying out the promotion.
+    return;
+  }
+  this->TakeStep(service, watch, step, now);
 }
 
 void PrimaryDuty::TakeStep(const std::string& service, ServiceWatch& watch,
@@ -519,7 +550,7 @@
   if (step != change.last_step && step.action != ChangeAction::kWait) {
     LogEvent(kChangeStep,
              {{"service", service},
-              {"action", static_cast<int>(step.action)},
+              {"action", ToString(step.action)},
               {"endpoint", step.endpoint},
               {"term", change.next_term},
               {"elapsed_ms", kernel::ToMilliseconds(now - change.started)}});
--- a/programs/laburnumkeel-proxy/primary_duty.h
+++ b/programs/laburnumkeel-proxy/primary_duty.h
@@ -69,6 +69,9 @@
   // True while the change must not touch any endpoint.
   bool HoldTentative(const std::string& service, ServiceWatch& watch,
                      kernel::Instant now);
+  // Publishes the former primary again, and ends the change.
+  void CancelChange(const std::string& service, ServiceWatch& watch,
+                    const std::string& reason);
   void AskReplicas(const std::string& service, kernel::Instant now);
   void AskMembers(const std::string& service, ServiceChange& change,
                   kernel::Instant now);
--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -685,7 +685,7 @@
       {{"request", job->statement.id},
        {"service", this->service},
        {"endpoint", job->endpoint_id},
-       {"code", static_cast<int>(reply.error)},
+       {"code", ToString(reply.error)},
        {"attempt", job->attempts},
        {"primary", this->IsPrimary(job->endpoint_id)},
        {"elapsed_ms", kernel::ToMilliseconds(now - job->arrived)}});
--- a/src/laburnumkeel/promotion/change_plan.cpp
+++ b/src/laburnumkeel/promotion/change_plan.cpp
@@ -123,6 +123,22 @@
 
 }  // namespace
 
+std::string_view ToString(ChangeAction action) {
+  switch (action) {
+    case ChangeAction::kWait:
+      return "wait";
+    case ChangeAction::kPause:
+      return "pause";
+    case ChangeAction::kResume:
+      return "resume";
+    case ChangeAction::kPromote:
+      return "promote";
+    case ChangeAction::kPublish:
+      return "publish";
+  }
+  return "wait";
+}
+
 ChangeStep NextStep(const ChangeView& view) {
   for (const ChangeMember& member : view.members) {
     if (member.has_answered && member.is_primary && member.id != view.former &&
--- a/src/laburnumkeel/promotion/change_plan.h
+++ b/src/laburnumkeel/promotion/change_plan.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "laburnumkeel/model/log_position.h"
@@ -54,6 +55,9 @@
   kPublish,
 };
 
+// The action's name in log lines.
+std::string_view ToString(ChangeAction action);
+
 struct ChangeStep {
   ChangeAction action = ChangeAction::kWait;
   // Id of the endpoint concerned.
--- a/src/laburnumkeel/statements/statement.h
+++ b/src/laburnumkeel/statements/statement.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "laburnumkeel/model/log_position.h"
 
@@ -60,6 +61,9 @@
   kUnrecognized,
 };
 
+// The code's name in log lines.
+std::string_view ToString(ErrorCode code);
+
 // True when an endpoint that answered with the code has not run the statement.
 bool IsNotRun(ErrorCode code);
 
