Refuse what is on its way to a session that is being ended

Cause: a stopping VM closed idle sessions; a statement sent in the same moment met a closed connection, which promises nothing, so single writes were lost. The session now gets an error before the close and runs nothing afterwards, so the promise is true.

--- a/programs/laburnumkeel-proxy/client_session.cpp
+++ b/programs/laburnumkeel-proxy/client_session.cpp
@@ -80,6 +80,12 @@
   this->on_end(*this);
 }
 
+void ClientSession::Dismiss() {
+  this->stream->Write(platform_adapter::EncodeError(
+      ErrorCode::kOverload, "the session has to move to another VM"));
+  this->End();
+}
+
 void ClientSession::LeaveTransaction() {
   if (!this->transaction) {
     return;
--- a/programs/laburnumkeel-proxy/client_session.h
+++ b/programs/laburnumkeel-proxy/client_session.h
@@ -45,6 +45,10 @@
   // Ends the session and what it has at endpoints.
   void End();
 
+  // Ends a session without an outstanding statement. A statement that is on its
+  // way meets a refusal that it has not run, and is never run.
+  void Dismiss();
+
   // Ends the open transaction; the client learns it with its next statement.
   void AbortTransaction(const std::string& reason);
 
--- a/programs/laburnumkeel-proxy/proxy.cpp
+++ b/programs/laburnumkeel-proxy/proxy.cpp
@@ -194,7 +194,7 @@
   std::size_t quota = open.size() / kIsolatedParts + 1;
   for (const auto& session : open) {
     if (quota > 0 && session->IsIdle()) {
-      session->End();
+      session->Dismiss();
       --quota;
     }
   }
@@ -247,7 +247,7 @@
   std::int64_t quota = static_cast<std::int64_t>(open.size()) / remaining + 1;
   for (const auto& session : open) {
     if (quota > 0 && session->IsIdle()) {
-      session->End();
+      session->Dismiss();
       --quota;
     }
   }
