End transactions in an evacuated data centre before the bound

Cause: statements of open transactions went on to a primary in a data centre that operators had taken out of use, also past the bound; the margin of 1 s left no time for a VM that learns late. EvacuatedDataCentreEndsItsTransactions fails without the check. Ruled out: ending them at once (the primary moves within the bound as a rule).

--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -71,8 +71,10 @@
 // A statement waits this much longer than others of a connection's account,
 // well below the latency objectives of the routes.
 constexpr milliseconds kConnectionPatience{120};
-// No new work goes to a data centre this long before the operators' bound.
-constexpr milliseconds kEvacuationMargin{1000};
+// No statement goes to a data centre this long before the operators' bound: a
+// VM learns of an evacuation within about a second, and a statement that is
+// sent still has to arrive.
+constexpr milliseconds kEvacuationMargin{2000};
 
 }  // namespace
 
@@ -113,6 +115,11 @@
       ++endpoint.outstanding;
     }
   }
+  const Endpoint* owner = this->Find(job->endpoint_id);
+  if (owner != nullptr &&
+      this->IsClosed(owner->info.data_centre, job->arrived)) {
+    this->Discard(connection);
+  }
   if (job->endpoint_id.empty() || !connection->IsOpen() ||
       connection->IsBusy()) {
     job->connection = nullptr;
@@ -172,15 +179,19 @@
   if (!is_home(job.route.allowed_regions) || !is_home(job.account_regions)) {
     return false;
   }
-  const auto evacuated =
-      this->context.evacuated.find(endpoint.info.data_centre);
-  if (evacuated == this->context.evacuated.end()) {
+  if (!this->context.evacuated.contains(endpoint.info.data_centre)) {
     return true;
   }
   // The primary keeps its work until the bound, to give time to replace it.
   return this->IsPrimary(endpoint.info.id) && job.kind != JobKind::kRead &&
-         now < evacuated->second + this->context.settings.evacuation_bound -
-                   kEvacuationMargin;
+         !this->IsClosed(endpoint.info.data_centre, now);
+}
+
+bool ServicePool::IsClosed(const std::string& data_centre, Instant now) const {
+  const auto evacuated = this->context.evacuated.find(data_centre);
+  return evacuated != this->context.evacuated.end() &&
+         now >= evacuated->second + this->context.settings.evacuation_bound -
+                    kEvacuationMargin;
 }
 
 ServicePool::Freshness ServicePool::FreshnessFor(const StatementJob& job,
--- a/programs/laburnumkeel-proxy/service_pool.h
+++ b/programs/laburnumkeel-proxy/service_pool.h
@@ -109,6 +109,9 @@
                                     kernel::Instant now) const;
   bool IsAllowed(const StatementJob& job, const Endpoint& endpoint,
                  kernel::Instant now) const;
+  // True when operators have taken the data centre out of use for so long that
+  // not even its primaries may get statements.
+  bool IsClosed(const std::string& data_centre, kernel::Instant now) const;
   bool IsPrimary(const std::string& endpoint_id) const;
   bool IsInOwnRegion(const std::string& data_centre) const;
   // Connections that may be kept without a statement.
