--- a/src/laburnumkeel/model/database_endpoint.h
+++ b/src/laburnumkeel/model/database_endpoint.h
@@ -20,7 +20,8 @@
   bool is_draining = false;
   // It believes that it is the primary.
   bool claims_primary = false;
-  std::chrono::milliseconds cold_remaining{0};
+  // How much longer it is slow after its start.
+  std::chrono::milliseconds warm_up_remaining{0};
   // Unix milliseconds of its start; another value under the same id means that
   // the process is a new one.
   std::int64_t started_at_ms = 0;
