Test two safety checks that could be removed unnoticed

Cause: ConfirmWrite's check of the sealed term and RetryPolicy's of an unknown outcome could be removed with all tests green. Each was removed once by hand: MemberOfAnotherSealedTermDoesNotCount and UnknownOutcomeIsNotATransientRefusal failed. Ruled out: a higher sealed term, which HighestTerm already refuses.

--- a/tests/endpoints/retry_policy_test.cpp
+++ b/tests/endpoints/retry_policy_test.cpp
@@ -13,12 +13,22 @@
 class RetryPolicyTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RetryPolicyTest);
   CPPUNIT_TEST(NeverRepeatsWhatMayHaveRun);
+  CPPUNIT_TEST(UnknownOutcomeIsNotATransientRefusal);
   CPPUNIT_TEST(RepeatsTransientRefusalsOnly);
   CPPUNIT_TEST(OutlastsAPlannedPromotion);
   CPPUNIT_TEST(RepeatsAtOnceAfterAClosedConnection);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against repeating a request whose connection closed after it was
+  // sent, as if the endpoint had refused it.
+  void UnknownOutcomeIsNotATransientRefusal() {
+    const FailedAttempt attempt{model::Outcome::kUnknown,
+                                std::string(codes::kConnectionClosed), false, 1,
+                                milliseconds(1000)};
+    CPPUNIT_ASSERT(!RetryPolicy(RetryLimits{}).Decide(attempt, 0.5).retry);
+  }
+
   // Guards against executing a request twice that may not be repeated, and
   // against a backoff beyond its limit or the deadline.
   void NeverRepeatsWhatMayHaveRun() {
--- a/tests/routing/write_confirmation_test.cpp
+++ b/tests/routing/write_confirmation_test.cpp
@@ -16,6 +16,7 @@
 class WriteConfirmationTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(WriteConfirmationTest);
   CPPUNIT_TEST(NeedsAMajorityInTheSameTerm);
+  CPPUNIT_TEST(MemberOfAnotherSealedTermDoesNotCount);
   CPPUNIT_TEST(OldRequestIsUnknown);
   CPPUNIT_TEST(HigherTermIsUnknown);
   CPPUNIT_TEST(PrimaryReadNeedsLaterStatuses);
@@ -24,6 +25,20 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against counting a member whose log is long enough, but which has
+  // not sealed the write's term.
+  void MemberOfAnotherSealedTermDoesNotCount() {
+    model::EndpointStatus status =
+        StatusOf("b", EndpointRole::kReplica, {{4, 0}}, 20);
+    status.sealed_term = 3;
+    this->Measure(status);
+    CPPUNIT_ASSERT(this->Confirm() == this->pending);
+    status.sealed_term = 4;
+    this->clock.Advance(std::chrono::milliseconds(1));
+    this->Measure(status);
+    CPPUNIT_ASSERT(!(this->Confirm() == this->pending));
+  }
+
   // Guards against an acknowledgement for an entry that only the primary has,
   // and against counting a log of another term that is merely long enough.
   void NeedsAMajorityInTheSameTerm() {
