--- a/programs/laburnumkeel-proxy/events.h
+++ b/programs/laburnumkeel-proxy/events.h
@@ -30,8 +30,8 @@
 inline constexpr EventDefinition kStoreRegained{
     6511, Severity::kInformation, "store_regained",
     "the platform's store answers again"};
-inline constexpr EventDefinition kConfigurationAdopted{
-    6512, Severity::kInformation, "configuration_adopted",
+inline constexpr EventDefinition kConfigurationInForce{
+    6512, Severity::kInformation, "configuration_in_force",
     "a newer configuration is in force on this VM"};
 inline constexpr EventDefinition kRowIgnored{
     6513, Severity::kWarning, "row_ignored",
@@ -82,7 +82,7 @@
 inline constexpr std::array kEvents{kProxyReady,      kProxyStopping,
                                     kProxyStopped,    kSettingsReloaded,
                                     kSettingsInvalid, kStoreLost,
-                                    kStoreRegained,   kConfigurationAdopted,
+                                    kStoreRegained,   kConfigurationInForce,
                                     kRowIgnored,      kEvacuationChanged,
                                     kEndpointChanged, kPrimaryAdopted,
                                     kDutyTaken,       kDutyLost,
--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -253,7 +253,7 @@
   if (current && decoded->version <= current->version) {
     return false;
   }
-  LogEvent(kConfigurationAdopted, {{"version", decoded->version},
+  LogEvent(kConfigurationInForce, {{"version", decoded->version},
                                    {"row_version", row.version},
                                    {"routes", decoded->routes.size()}});
   this->context.configuration =
