Let a new coordinator start with the operations that its predecessor kept

A coordinator's bucket of an account began empty with the account's first report, and a successor cannot know what its predecessor granted.

Change: the bucket counts from the take-over. The holder of the duty publishes, with each renewal, operations that it does not grant (kept_operations in the duty row), and a successor starts with them. When an operation is refused only for that, the duty is renewed early, and the operation waits for it instead of being refused.

Reports that only ask for grants are brief: they hold the accounts with waiting operations, and their answers no positions. Amounts travel as thousandths. The complete reports were sent for nearly every operation on 89 VMs.

Ruled out: full buckets for a successor (the limit would not hold in the window that spans the change; LimitHoldsUnderLossCutsAndSuccession); no shares while little is left (SilentVmsDoNotBlockASuccessor fails); keeping three quarters without the wait (refusals in steady state, about 100 in 2 s).

Without the check of what is kept, KeptOperationsAreNotGranted and KeptOperationsOfAnUnconfirmedWriteAreNotGranted fail.

--- a/programs/laburnumkeel-proxy/account_gate.cpp
+++ b/programs/laburnumkeel-proxy/account_gate.cpp
@@ -73,6 +73,18 @@
   return report;
 }
 
+std::map<std::string, limits::AccountReport> AccountGate::ReportWaiting(
+    Instant now) const {
+  std::map<std::string, limits::AccountReport> report;
+  for (const auto& [name, account] : this->accounts) {
+    if (!account.waiting.empty()) {
+      report[name] = account.allowance.Report(
+          static_cast<int>(account.waiting.size()), now);
+    }
+  }
+  return report;
+}
+
 void AccountGate::OnGrant(const std::string& name,
                           const limits::AccountGrant& grant, Instant sent) {
   const Instant now = this->context.clock.Now();
@@ -80,7 +92,8 @@
   account.allowance.OnGrant(grant, sent, now);
   this->Serve(account, now);
   // What was asked for before the report and still waits was not granted.
-  while (!account.waiting.empty() && account.waiting.front().since <= sent) {
+  while (!grant.is_more_soon && !account.waiting.empty() &&
+         account.waiting.front().since <= sent) {
     account.exhausted_until = now + kExhaustedPause;
     const Handler handler = std::move(account.waiting.front().handler);
     account.waiting.pop_front();
--- a/programs/laburnumkeel-proxy/account_gate.h
+++ b/programs/laburnumkeel-proxy/account_gate.h
@@ -36,6 +36,9 @@
 
   std::map<std::string, limits::AccountReport> Report(
       kernel::Instant now) const;
+  // Only accounts whose operations wait for a grant.
+  std::map<std::string, limits::AccountReport> ReportWaiting(
+      kernel::Instant now) const;
 
   void OnGrant(const std::string& account, const limits::AccountGrant& grant,
                kernel::Instant sent);
@@ -47,7 +50,8 @@
   void Tick(kernel::Instant now);
 
  private:
-  // The coordinator is at most a round trip between regions away.
+  // The coordinator is at most a round trip between regions away, and publishes
+  // what it keeps for a successor ten times a second when it is asked for more.
   static constexpr std::chrono::milliseconds kMaximumWait{150};
   // After a grant that was smaller than what was wanted, the account's excess
   // is refused for this long without asking again.
--- a/programs/laburnumkeel-proxy/fleet_exchange.cpp
+++ b/programs/laburnumkeel-proxy/fleet_exchange.cpp
@@ -38,7 +38,9 @@
       find_pool(std::move(find_pool)),
       socket(context.loop),
       timer(context.loop),
-      incarnation(kernel::RandomIdentifier()) {}
+      incarnation(kernel::RandomIdentifier()) {
+  this->duty.SetHandoverSource([this] { return this->MakeHandover(); });
+}
 
 bool FleetExchange::Listen() {
   const auto address = transport::ParseSocketAddress(
@@ -97,14 +99,30 @@
   }
   if (record->token != this->coordinated_token) {
     this->coordinated_token = record->token;
-    this->coordinator.Reset(record->silent_vms, now);
+    this->coordinator.SetVms(this->store.VmNames());
+    this->coordinator.Reset(record->silent_vms,
+                            this->duty.InheritedOperations(), now);
+    this->published_version = 0;
+  }
+  if (this->duty.Lease().Version() != this->published_version) {
+    this->published_version = this->duty.Lease().Version();
+    this->coordinator.SetPublishedSilent(record->silent_vms);
+    this->coordinator.SetPublishedKept(record->kept_operations);
+    this->coordinator.SetVms(this->store.VmNames());
   }
-  this->coordinator.SetVms(this->store.VmNames());
-  this->coordinator.SetPublishedSilent(record->silent_vms);
-  this->duty.SetSilentVms(this->coordinator.SilentVms(now));
   return true;
 }
 
+PrimaryDuty::Handover FleetExchange::MakeHandover() {
+  const Instant now = this->context.clock.Now();
+  if (!this->CanAnswer(now)) {
+    // Nothing has been granted under this token yet.
+    const promotion::DutyRecord& record = *this->duty.Lease().Record();
+    return {record.silent_vms, record.kept_operations};
+  }
+  return {this->coordinator.SilentVms(now), this->coordinator.ProposeKept(now)};
+}
+
 void FleetExchange::OnReport(const peer::FleetReport& report) {
   if (!this->CanAnswer(this->context.clock.Now())) {
     return;
@@ -123,13 +141,16 @@
     if (record.version > report.primaries_version) {
       answer.primaries.push_back(record);
     }
+    if (report.is_brief) {
+      continue;
+    }
     answer.lags.merge(this->find_pool(service).Lags(now));
     const auto sample = this->find_pool(service).NewestSample();
     if (sample) {
       answer.positions[service] = {sample->position, Age(now, sample->covers)};
     }
   }
-  this->coordinator.OnReported(report.vm, report.incarnation, now);
+  this->coordinator.OnReported(report.vm, now);
   for (const auto& [name, demand] : report.accounts) {
     const auto found = this->context.configuration->accounts.find(name);
     if (found == this->context.configuration->accounts.end()) {
@@ -139,6 +160,9 @@
         report.vm, name, AccountLimit(this->context.settings, found->second),
         demand, now);
   }
+  if (this->coordinator.IsKeptNeeded()) {
+    this->duty.RenewSoon();
+  }
   answer.operator_rows = {this->store.OperatorRows().version,
                           Age(now, this->store.OperatorRows().read_at)};
   answer.endpoint_rows = {this->store.EndpointRows().version,
@@ -203,13 +227,19 @@
   }
 }
 
-peer::FleetReport FleetExchange::MakeReport() {
+peer::FleetReport FleetExchange::MakeReport(Instant now) {
   peer::FleetReport report;
   report.vm = this->context.settings.vm;
   report.incarnation = this->incarnation;
   report.sequence = ++this->sequence;
   report.primaries_version = this->context.primaries.NewestVersion();
-  report.accounts = this->gate.Report(this->context.clock.Now());
+  report.is_brief = now < this->last_complete_report + kReportPeriod;
+  if (report.is_brief) {
+    report.accounts = this->gate.ReportWaiting(now);
+  } else {
+    report.accounts = this->gate.Report(now);
+    this->last_complete_report = now;
+  }
   return report;
 }
 
@@ -223,7 +253,7 @@
   }
   if (duty_record->holder == this->context.settings.vm) {
     if (this->CanAnswer(now)) {
-      this->Apply(this->Answer(this->MakeReport()), now);
+      this->Apply(this->Answer(this->MakeReport(now)), now);
     }
     return;
   }
@@ -231,7 +261,7 @@
   if (!holder) {
     return;
   }
-  const peer::FleetReport report = this->MakeReport();
+  const peer::FleetReport report = this->MakeReport(now);
   this->in_flight[report.sequence] = now;
   while (this->in_flight.size() > kMaximumInFlight) {
     this->in_flight.erase(this->in_flight.begin());
@@ -258,7 +288,11 @@
     }
     this->Report();
     if (!this->is_report_due) {
-      this->Schedule(kReportPeriod);
+      // Without a holder no report was made.
+      const auto since = std::chrono::floor<milliseconds>(
+          this->last_report - this->last_complete_report);
+      this->Schedule(since < kReportPeriod ? kReportPeriod - since
+                                           : kReportPeriod);
     }
   });
 }
--- a/programs/laburnumkeel-proxy/fleet_exchange.h
+++ b/programs/laburnumkeel-proxy/fleet_exchange.h
@@ -50,12 +50,14 @@
   void OnAnswer(const peer::FleetAnswer& answer);
   void Apply(const peer::FleetAnswer& answer, kernel::Instant sent);
   peer::FleetAnswer Answer(const peer::FleetReport& report);
-  peer::FleetReport MakeReport();
+  // Complete once in a period, brief in between.
+  peer::FleetReport MakeReport(kernel::Instant now);
   void Report();
   void Schedule(std::chrono::milliseconds delay);
   void Send(const std::string& bytes,
             const boost::asio::ip::udp::endpoint& target);
   bool CanAnswer(kernel::Instant now);
+  PrimaryDuty::Handover MakeHandover();
 
   ProxyContext& context;
   StoreLink& store;
@@ -64,6 +66,8 @@
   const std::function<ServicePool&(const std::string&)> find_pool;
   limits::RateCoordinator coordinator;
   std::uint64_t coordinated_token = 0;
+  // Version of the duty's row that the coordinator was last told of.
+  std::uint64_t published_version = 0;
   boost::asio::ip::udp::socket socket;
   boost::asio::steady_timer timer;
   boost::asio::ip::udp::endpoint sender;
@@ -73,6 +77,7 @@
   std::int64_t applied_sequence = 0;
   std::map<std::int64_t, kernel::Instant> in_flight;
   kernel::Instant last_report;
+  kernel::Instant last_complete_report;
   bool is_report_due = false;
   std::map<std::string, boost::asio::ip::udp::endpoint> reporters;
 };
--- a/programs/laburnumkeel-proxy/fleet_rows.cpp
+++ b/programs/laburnumkeel-proxy/fleet_rows.cpp
@@ -15,7 +15,8 @@
                {"address", record.address},
                {"token", record.token},
                {"renewed_at_ms", record.renewed_at_ms},
-               {"silent_vms", record.silent_vms}})
+               {"silent_vms", record.silent_vms},
+               {"kept_operations", record.kept_operations}})
       .dump();
 }
 
@@ -27,7 +28,9 @@
         document.at("address").get<std::string>(),
         document.at("token").get<std::uint64_t>(),
         document.value("renewed_at_ms", std::int64_t{0}),
-        document.value("silent_vms", std::set<std::string>())};
+        document.value("silent_vms", std::set<std::string>()),
+        document.value("kept_operations",
+                       std::map<std::string, std::int64_t>())};
   } catch (const json::exception&) {
     return std::nullopt;
   }
--- a/programs/laburnumkeel-proxy/primary_duty.cpp
+++ b/programs/laburnumkeel-proxy/primary_duty.cpp
@@ -101,29 +101,24 @@
   if (!is_held && !this->IsClaimDue(now)) {
     return;
   }
-  promotion::DutyRecord record;
-  record.holder = this->context.settings.vm;
-  record.address = this->context.settings.ip + ":" +
-                   std::to_string(this->context.settings.peer_port);
-  const std::uint64_t last_token =
-      this->lease.Record() ? this->lease.Record()->token : 0;
-  record.token = is_held ? last_token : last_token + 1;
-  record.renewed_at_ms = this->store.StoreNowMs(now);
-  // A new holder passes on what its predecessor published.
-  record.silent_vms = is_held || !this->lease.Record()
-                          ? this->silent_vms
-                          : this->lease.Record()->silent_vms;
+  const promotion::DutyRecord record = this->MakeRecord(is_held, now);
+  limits::KeptOperations inherited;
+  if (!is_held && this->lease.Record()) {
+    inherited = this->lease.Record()->kept_operations;
+  }
   this->is_writing = true;
+  this->renewed = now;
   this->renew_at = now + promotion::DutyLease::kRenewalPeriod;
   this->store.Write(
       {{std::string(kFleetTable), std::string(kDutyKey),
         this->lease.Version()}},
       {{std::string(kFleetTable), std::string(kDutyKey), EncodeDuty(record)}},
-      [this, record, now, is_held](const WriteOutcome& outcome) {
+      [this, record, now, is_held, inherited](const WriteOutcome& outcome) {
         this->is_writing = false;
         if (outcome.kind == WriteOutcome::Kind::kDone) {
           if (!is_held) {
             this->held_since = this->context.clock.Now();
+            this->inherited_operations = inherited;
             this->store.ReadFleetSoon();
           }
           this->lease.OnWritten(record, outcome.version, now);
@@ -133,6 +128,37 @@
       });
 }
 
+void PrimaryDuty::RenewSoon() {
+  this->renew_at =
+      std::min(this->renew_at,
+               this->renewed + promotion::DutyLease::kMinimumRenewalPeriod);
+}
+
+promotion::DutyRecord PrimaryDuty::MakeRecord(bool is_held, Instant now) const {
+  promotion::DutyRecord record;
+  record.holder = this->context.settings.vm;
+  record.address = this->context.settings.ip + ":" +
+                   std::to_string(this->context.settings.peer_port);
+  record.renewed_at_ms = this->store.StoreNowMs(now);
+  const auto& previous = this->lease.Record();
+  record.token = previous ? previous->token : 0;
+  if (is_held) {
+    const Handover handover = this->handover_source();
+    record.silent_vms = handover.silent_vms;
+    record.kept_operations = handover.kept_operations;
+    return record;
+  }
+  ++record.token;
+  if (previous) {
+    record.silent_vms = previous->silent_vms;
+    // This VM may grant half of what it inherits before its first renewal.
+    for (const auto& [account, operations] : previous->kept_operations) {
+      record.kept_operations[account] = operations / 2;
+    }
+  }
+  return record;
+}
+
 bool PrimaryDuty::IsClaimDue(Instant now) {
   if (!this->lease.MayClaim(now)) {
     this->claimable_since = Instant();
@@ -158,9 +184,9 @@
     done();
     return;
   }
-  promotion::DutyRecord record = *this->lease.Record();
+  promotion::DutyRecord record =
+      this->MakeRecord(true, this->context.clock.Now());
   record.holder.clear();
-  record.silent_vms = this->silent_vms;
   this->store.Write(
       {{std::string(kFleetTable), std::string(kDutyKey),
         this->lease.Version()}},
--- a/programs/laburnumkeel-proxy/primary_duty.h
+++ b/programs/laburnumkeel-proxy/primary_duty.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <utility>
 
+#include "laburnumkeel/limits/rate_coordinator.h"
 #include "laburnumkeel/promotion/change_plan.h"
 #include "laburnumkeel/promotion/duty_lease.h"
 #include "laburnumkeel/transport/http_channel.h"
@@ -41,9 +42,22 @@
 
   const promotion::DutyLease& Lease() const { return this->lease; }
 
-  // VMs that the next renewal of the duty publishes as holding no share.
-  void SetSilentVms(std::set<std::string> vms) {
-    this->silent_vms = std::move(vms);
+  // What the holder publishes for its successor with each renewal.
+  struct Handover {
+    // VMs that hold no share.
+    std::set<std::string> silent_vms;
+    limits::KeptOperations kept_operations;
+  };
+  void SetHandoverSource(std::function<Handover()> source) {
+    this->handover_source = std::move(source);
+  }
+
+  // Renews the duty early, since the next handover lets more operations pass.
+  void RenewSoon();
+
+  // What the predecessor left to grant when this VM took the duty over.
+  const limits::KeptOperations& InheritedOperations() const {
+    return this->inherited_operations;
   }
 
   // When the store confirmed that this VM took the duty over.
@@ -53,6 +67,8 @@
   void Renew(kernel::Instant now);
   // True when the duty is free and no better suited VM has taken it.
   bool IsClaimDue(kernel::Instant now);
+  // The record with which this VM claims, keeps or returns the duty.
+  promotion::DutyRecord MakeRecord(bool is_held, kernel::Instant now) const;
   void WatchService(const std::string& service, kernel::Instant now);
   void PublishFirst(const std::string& service, ServiceWatch& watch);
   void Ask(const std::string& service, ServiceWatch& watch,
@@ -96,7 +112,9 @@
   promotion::DutyLease lease;
   std::map<std::string, ServiceWatch> watches;
   std::map<std::string, std::unique_ptr<transport::HttpChannel>> channels;
-  std::set<std::string> silent_vms;
+  std::function<Handover()> handover_source;
+  limits::KeptOperations inherited_operations;
+  kernel::Instant renewed;
   kernel::Instant renew_at;
   bool is_writing = false;
   bool was_held = false;
--- a/src/laburnumkeel/limits/rate_coordinator.cpp
+++ b/src/laburnumkeel/limits/rate_coordinator.cpp
@@ -1,6 +1,7 @@
 #include "laburnumkeel/limits/rate_coordinator.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace laburnumkeel::limits {
 
@@ -13,6 +14,27 @@
 // that a quiet VM keeps a little for its next client.
 constexpr double kBaseDemand = 0.01;
 
+// Part of what is left that is kept for a successor. An account within its rate
+// needs no more than the refill and the other part until the next publication,
+// which comes early when it does.
+constexpr double kKeptPart = 0.75;
+
+// Shares of a single operation are given out while this part of the smallest
+// remainder is left, so that half of it bridges the time until they are full.
+constexpr double kPlentyPart = 0.5;
+
+// The coordinator itself uses the remainder, until the next change of it.
+constexpr kernel::Instant kNoExpiry = kernel::Instant::max();
+
+// A VM reports its share in thousandths, and what it confirms has to be equal
+// to what it was granted.
+double RoundedDown(double amount) {
+  constexpr double kUnitsPerOperation = 1000;
+  constexpr double kRoundingError = 1e-6;
+  return std::floor(amount * kUnitsPerOperation + kRoundingError) /
+         kUnitsPerOperation;
+}
+
 ShareAmount Scaled(const ShareAmount& amount, double factor) {
   return {amount.rate * factor, amount.burst * factor};
 }
@@ -20,8 +42,11 @@
 }  // namespace
 
 void RateCoordinator::Reset(const std::set<std::string>& silent,
-                            kernel::Instant now) {
+                            const KeptOperations& kept, kernel::Instant now) {
   this->published_silent = silent;
+  this->inherited = kept;
+  this->published_kept.clear();
+  this->proposed_kept.clear();
   this->accounts.clear();
   this->reported_at.clear();
   this->took_over = now;
@@ -46,12 +71,73 @@
   this->published_silent = silent;
 }
 
+KeptOperations RateCoordinator::ProposeKept(kernel::Instant now) {
+  KeptOperations proposal = this->inherited;
+  const int vm_count = static_cast<int>(this->vms.size());
+  for (auto& [name, account] : this->accounts) {
+    // Never more than what shares leave, so that a growing share cannot take
+    // away what is kept.
+    const double most = SmallestRemainder(account.limit, vm_count).burst;
+    proposal[name] = static_cast<std::int64_t>(
+        std::min(account.remainder.Available(now), most) * kKeptPart);
+  }
+  for (const auto& [name, kept] : proposal) {
+    std::int64_t& proposed = this->proposed_kept[name];
+    proposed = std::max(proposed, kept);
+  }
+  return proposal;
+}
+
+void RateCoordinator::SetPublishedKept(const KeptOperations& kept) {
+  this->published_kept = kept;
+  this->proposed_kept.clear();
+  this->is_kept_needed = false;
+}
+
+double RateCoordinator::Kept(const std::string& name) const {
+  std::int64_t kept = 0;
+  for (const KeptOperations* known :
+       {&this->published_kept, &this->proposed_kept}) {
+    const auto found = known->find(name);
+    if (found != known->end()) {
+      kept = std::max(kept, found->second);
+    }
+  }
+  return static_cast<double>(kept);
+}
+
+ShareAmount RateCoordinator::SmallestRemainder(const ShareAmount& limit,
+                                               int vm_count) {
+  return Scaled(limit, 1 - ReservedFraction(vm_count) - kShareFraction);
+}
+
+RateCoordinator::Account& RateCoordinator::FindOrAdd(const std::string& name,
+                                                     const ShareAmount& limit) {
+  const auto [entry, is_new] = this->accounts.try_emplace(name);
+  Account& account = entry->second;
+  account.limit = limit;
+  if (is_new) {
+    const auto kept = this->inherited.find(name);
+    double tokens = 0;
+    if (kept != this->inherited.end()) {
+      tokens = static_cast<double>(kept->second);
+      this->inherited.erase(kept);
+    }
+    // What shares leave has been unused since this coordinator took over.
+    account.remainder = TokenBucket(tokens, this->took_over);
+    account.remainder.Apply(
+        {SmallestRemainder(limit, static_cast<int>(this->vms.size())),
+         kNoExpiry},
+        {}, this->took_over);
+  }
+  return account;
+}
+
 void RateCoordinator::SetVms(const std::set<std::string>& names) {
   this->vms = names;
 }
 
-void RateCoordinator::OnReported(const std::string& vm, const std::string&,
-                                 kernel::Instant now) {
+void RateCoordinator::OnReported(const std::string& vm, kernel::Instant now) {
   this->reported_at[vm] = now;
 }
 
@@ -75,18 +161,12 @@
       }));
 }
 
-int RateCoordinator::ReportingVms(kernel::Instant now) const {
-  return static_cast<int>(std::count_if(
-      this->reported_at.begin(), this->reported_at.end(),
-      [&](const auto& entry) { return now < entry.second + kShareLifetime; }));
-}
-
 AccountGrant RateCoordinator::Assign(const std::string& vm,
                                      const std::string& name,
                                      const ShareAmount& limit,
                                      const AccountReport& report,
                                      kernel::Instant now) {
-  Account& account = this->accounts[name];
+  Account& account = this->FindOrAdd(name, limit);
   std::erase_if(account.holdings,
                 [&](const auto& entry) { return now >= entry.second.lapses; });
   const double base = limit.rate * kBaseDemand;
@@ -109,10 +189,20 @@
   if (total_demand > 0 && available.burst >= kOneOperation &&
       !this->published_silent.contains(vm)) {
     ShareAmount target = Scaled(shared, (report.demand + base) / total_demand);
-    // A share that never holds a whole operation is of no use.
-    target.burst = std::max(target.burst, kOneOperation);
+    if (target.burst < kOneOperation) {
+      // A share that never holds a whole operation is of no use. Rounded up, it
+      // fills slowly: that is paid for only while much is left.
+      const double plenty =
+          SmallestRemainder(limit, static_cast<int>(this->vms.size())).burst *
+          kPlentyPart;
+      target = account.remainder.Available(now) >= plenty
+                   ? ShareAmount{target.rate, kOneOperation}
+                   : Smaller(target, report.held);
+    }
     grant.share =
         Smaller(Smaller(target, Larger(most, {0, kOneOperation})), available);
+    grant.share = {RoundedDown(grant.share.rate),
+                   RoundedDown(grant.share.burst)};
   }
   Holding& holding = account.holdings[vm];
   // An earlier grant that the VM has not confirmed may still reach it.
@@ -127,11 +217,16 @@
   const ShareAmount rest =
       NotNegative(Scaled(limit, 1 - ReservedFraction(vm_count)) - others -
                   holding.counted - unknown);
-  // The expiry only has to lie beyond the next call.
-  account.remainder.Apply({rest, now + std::chrono::hours(1)}, {}, now);
-  while (grant.operations < report.wanted && account.remainder.TryTake(now)) {
+  account.remainder.Apply({rest, kNoExpiry}, {}, now);
+  const double kept = this->Kept(name);
+  while (grant.operations < report.wanted &&
+         account.remainder.Available(now) >= kept + kOneOperation &&
+         account.remainder.TryTake(now)) {
     ++grant.operations;
   }
+  grant.is_more_soon = grant.operations < report.wanted &&
+                       account.remainder.Available(now) >= kOneOperation;
+  this->is_kept_needed |= grant.is_more_soon;
   return grant;
 }
 
--- a/src/laburnumkeel/limits/rate_coordinator.h
+++ b/src/laburnumkeel/limits/rate_coordinator.h
@@ -2,7 +2,7 @@
 #define LABURNUMKEEL_LIMITS_RATE_COORDINATOR_H_
 
 #include <chrono>
-#include <compare>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -29,17 +29,25 @@
 struct AccountGrant {
   ShareAmount share;
   int operations = 0;
+  // More can be granted once the coordinator has published that it keeps less:
+  // waiting for it is better than being refused.
+  bool is_more_soon = false;
 
   bool operator==(const AccountGrant&) const = default;
 };
 
+// Whole operations of each account that a coordinator has not granted, so that
+// its successor can.
+using KeptOperations = std::map<std::string, std::int64_t>;
+
 // Splits the limit of each account over the VMs, on the one VM that holds the
 // duty. Most of a limit is given out as shares, which follow demand and stay
 // valid while the coordinator is away; the rest is granted as single
 // operations.
 //
 // Load patterns: clients of an account that all reach a few VMs; clients that
-// move to other VMs; an account far above its rate; the coordinator's VM lost.
+// move to other VMs; an account far above its rate; the coordinator's VM lost;
+// all clients at once, at the start or after all VMs were restarted.
 //
 // The sum of what VMs hold never exceeds a limit: a share that was lowered
 // counts in full until its VM reports that it uses the lower one, or until it
@@ -71,8 +79,21 @@
   static ShareAmount Reserve(const ShareAmount& limit, int vm_count);
 
   // Takes over the duty: what was given out before is unknown, but that the
-  // VMs in `silent` hold nothing.
-  void Reset(const std::set<std::string>& silent, kernel::Instant now);
+  // VMs in `silent` hold nothing and that `kept` was not granted.
+  void Reset(const std::set<std::string>& silent, const KeptOperations& kept,
+             kernel::Instant now);
+
+  // What to publish for a successor. Not granted from now on, and neither is
+  // what was proposed before, until SetPublishedKept tells which one is in
+  // force.
+  KeptOperations ProposeKept(kernel::Instant now);
+
+  // A successor would find these.
+  void SetPublishedKept(const KeptOperations& kept);
+
+  // True when an operation was refused only because it is kept: publishing
+  // less makes it available.
+  bool IsKeptNeeded() const { return this->is_kept_needed; }
 
   // VMs whose last share has lapsed. The holder of the duty publishes them for
   // its successor, and tells the coordinator with SetPublishedSilent.
@@ -85,17 +106,13 @@
   void SetVms(const std::set<std::string>& names);
 
   // A VM has reported what it holds of all accounts.
-  void OnReported(const std::string& vm, const std::string& incarnation,
-                  kernel::Instant now);
+  void OnReported(const std::string& vm, kernel::Instant now);
 
   // `limit` is what all VMs together may pass.
   AccountGrant Assign(const std::string& vm, const std::string& account,
                       const ShareAmount& limit, const AccountReport& report,
                       kernel::Instant now);
 
-  // VMs that reported within the lifetime of a share.
-  int ReportingVms(kernel::Instant now) const;
-
  private:
   struct Holding {
     ShareAmount counted;
@@ -105,16 +122,30 @@
   };
   struct Account {
     std::map<std::string, Holding> holdings;
+    ShareAmount limit;
     // For single operations.
     TokenBucket remainder;
   };
 
+  // What is left for single operations when all shares are given out.
+  static ShareAmount SmallestRemainder(const ShareAmount& limit, int vm_count);
+
+  Account& FindOrAdd(const std::string& name, const ShareAmount& limit);
+  // Operations of an account that a successor may find.
+  double Kept(const std::string& name) const;
+
   // VMs that may hold a share of the coordinator before.
   int UnknownVms(kernel::Instant now) const;
 
   std::map<std::string, Account> accounts;
   std::set<std::string> vms;
   std::set<std::string> published_silent;
+  // Of the predecessor; of accounts that are not in `accounts`.
+  KeptOperations inherited;
+  KeptOperations published_kept;
+  // The most of each account that was proposed and may have been published.
+  KeptOperations proposed_kept;
+  bool is_kept_needed = false;
   std::map<std::string, kernel::Instant> reported_at;
   kernel::Instant took_over;
 };
--- a/src/laburnumkeel/limits/token_bucket.h
+++ b/src/laburnumkeel/limits/token_bucket.h
@@ -19,9 +19,14 @@
 // for both: with a pool for each, the smaller one overflows while a request
 // waits for the other, and a small burst gives neither a whole token.
 //
-// Starts empty and without shares. Not thread-safe.
+// Without shares at first. Not thread-safe.
 class TokenBucket {
  public:
+  TokenBucket() = default;
+
+  // Holds `tokens` as of an instant.
+  TokenBucket(double tokens, kernel::Instant as_of)
+      : refilled_at(as_of), tokens(tokens) {}
   // Replaces both shares. Tokens above a lower capacity are discarded, and
   // additional capacity starts empty.
   void Apply(const LeasedAmount& new_dynamic, const LeasedAmount& new_reserve,
--- a/src/laburnumkeel/peer/fleet_message.cpp
+++ b/src/laburnumkeel/peer/fleet_message.cpp
@@ -4,6 +4,9 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <algorithm>
+#include <cmath>
+#include <limits>
 #include <memory>
 #include <utility>
 
@@ -52,6 +55,17 @@
   }
 }
 
+// Amounts of a limit travel in thousandths.
+constexpr double kThousandths = 1000;
+
+std::int32_t ToWire(double amount) {
+  return static_cast<std::int32_t>(std::clamp(
+      std::round(amount * kThousandths), 0.0,
+      static_cast<double>(std::numeric_limits<std::int32_t>::max())));
+}
+
+double FromWire(std::int32_t amount) { return amount / kThousandths; }
+
 generated::WirePrimary ToWire(const routing::PrimaryRecord& record) {
   generated::WirePrimary wire;
   wire.database_service = record.service;
@@ -76,12 +90,13 @@
   wire.incarnation = report.incarnation;
   wire.sequence = report.sequence;
   wire.primaries_version = static_cast<std::int64_t>(report.primaries_version);
+  wire.brief = report.is_brief;
   for (const auto& [name, account] : report.accounts) {
     generated::WireAccountReport entry;
     entry.account = name;
-    entry.demand = account.demand;
-    entry.held_rate = account.held.rate;
-    entry.held_burst = account.held.burst;
+    entry.demand = ToWire(account.demand);
+    entry.held_rate = ToWire(account.held.rate);
+    entry.held_burst = ToWire(account.held.burst);
     entry.wanted = account.wanted;
     wire.accounts.push_back(std::move(entry));
   }
@@ -107,9 +122,10 @@
   for (const auto& [name, grant] : answer.accounts) {
     generated::WireAccountGrant entry;
     entry.account = name;
-    entry.rate = grant.share.rate;
-    entry.burst = grant.share.burst;
+    entry.rate = ToWire(grant.share.rate);
+    entry.burst = ToWire(grant.share.burst);
     entry.operations = grant.operations;
+    entry.more_soon = grant.is_more_soon;
     wire.accounts.push_back(std::move(entry));
   }
   wire.operator_version =
@@ -139,9 +155,12 @@
   report.sequence = wire->sequence;
   report.primaries_version =
       static_cast<std::uint64_t>(wire->primaries_version);
+  report.is_brief = wire->brief;
   for (const auto& entry : wire->accounts) {
     report.accounts[entry.account] = {
-        entry.demand, {entry.held_rate, entry.held_burst}, entry.wanted};
+        FromWire(entry.demand),
+        {FromWire(entry.held_rate), FromWire(entry.held_burst)},
+        entry.wanted};
   }
   return report;
 }
@@ -166,8 +185,10 @@
         std::chrono::microseconds(entry.age_us)};
   }
   for (const auto& entry : wire->accounts) {
-    answer.accounts[entry.account] = {{entry.rate, entry.burst},
-                                      entry.operations};
+    answer.accounts[entry.account] = {
+        {FromWire(entry.rate), FromWire(entry.burst)},
+        entry.operations,
+        entry.more_soon};
   }
   answer.operator_rows = {static_cast<std::uint64_t>(wire->operator_version),
                           std::chrono::microseconds(wire->operator_age_us)};
--- a/src/laburnumkeel/peer/fleet_message.h
+++ b/src/laburnumkeel/peer/fleet_message.h
@@ -25,7 +25,11 @@
   std::int64_t sequence = 0;
   // Version of the newest published primary that the VM knows.
   std::uint64_t primaries_version = 0;
+  // Amounts are rounded to thousandths.
   std::map<std::string, limits::AccountReport> accounts;
+  // Sent while operations wait: holds only their accounts, and asks only for
+  // what those need.
+  bool is_brief = false;
 
   bool operator==(const FleetReport&) const = default;
 };
--- a/src/laburnumkeel/peer/idl/fleet.thrift
+++ b/src/laburnumkeel/peer/idl/fleet.thrift
@@ -4,10 +4,11 @@
 // What a VM needs and holds of an account's limit.
 struct WireAccountReport {
   1: string account,
-  // Operations a second that clients ask for.
-  2: double demand,
-  3: double held_rate,
-  4: double held_burst,
+  // Operations a second that clients ask for, in thousandths, as all amounts
+  // in this file: integers of this size take two or three bytes.
+  2: i32 demand,
+  3: i32 held_rate,
+  4: i32 held_burst,
   // Single operations that wait for a grant.
   5: i32 wanted,
 }
@@ -19,15 +20,20 @@
   3: i64 sequence,
   // Version of the newest published primary that the VM knows.
   4: i64 primaries_version,
+  // Those with clients; in a brief report, those with waiting operations.
   5: list<WireAccountReport> accounts,
+  // Only grants of operations and proofs of primaries are asked for.
+  6: bool brief,
 }
 
 struct WireAccountGrant {
   1: string account,
-  2: double rate,
-  3: double burst,
+  2: i32 rate,
+  3: i32 burst,
   // Single operations granted beside the share.
   4: i32 operations,
+  // Those that were not granted may be with the next report.
+  5: bool more_soon,
 }
 
 struct WirePrimary {
--- a/src/laburnumkeel/promotion/duty_lease.h
+++ b/src/laburnumkeel/promotion/duty_lease.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -24,6 +25,9 @@
   std::int64_t renewed_at_ms = 0;
   // VMs that hold no share of any limit: their last one has lapsed.
   std::set<std::string> silent_vms;
+  // Operations of each account's limit that the holder has not granted, and
+  // that a successor may.
+  std::map<std::string, std::int64_t> kept_operations;
 
   bool operator==(const DutyRecord&) const = default;
 };
@@ -42,6 +46,9 @@
   static constexpr std::chrono::milliseconds kTakeOverDelay{5700};
   // Five renewals in a lifetime.
   static constexpr std::chrono::milliseconds kRenewalPeriod{1000};
+  // Between renewals that let clients' operations pass: ten writes a second of
+  // one VM are few beside what the store takes.
+  static constexpr std::chrono::milliseconds kMinimumRenewalPeriod{100};
   // Two readings of the store.
   static constexpr std::chrono::milliseconds kReadingLifetime{1000};
 
