Send statements again to a busy primary on the same connection

Each statement that it refused as busy was placed again after 25 ms, up to six times, and each attempt opened a connection, since VMs kept half of their share.

Change: a statement that is bound to its endpoint waits on its connection and is sent again after a pause that doubles and is drawn at random (routing/busy_backoff); a statement in an open transaction as well, which failed the transaction before. VMs keep their whole share of connections.

Tests, failing before: BusyPrimaryIsAskedAgainOnTheSameConnection, BusyPrimaryIsAskedMoreAndMoreRarely, BusyEndpointDoesNotEndATransaction.

--- a/programs/laburnumkeel-proxy/endpoint_connection.h
+++ b/programs/laburnumkeel-proxy/endpoint_connection.h
@@ -57,8 +57,15 @@
   const std::string& Account() const { return this->account; }
   statements::ConnectionValues& Values() { return this->values; }
 
+  // True when a statement may be sent that is not the owner's.
+  bool IsFree() const {
+    return !this->IsBusy() && !this->is_pinned && !this->is_reserved;
+  }
+
   // True while a client's transaction owns the connection.
   bool is_pinned = false;
+  // True while a statement that was refused waits to be sent again.
+  bool is_reserved = false;
   kernel::Instant last_used;
 
  private:
--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "laburnumkeel/kernel/milliseconds.h"
+#include "laburnumkeel/routing/busy_backoff.h"
 #include "laburnumkeel/routing/endpoint_choice.h"
 #include "platform/wire_codec.h"
 #include "programs/laburnumkeel-proxy/events.h"
@@ -76,6 +77,17 @@
 // sent still has to arrive.
 constexpr milliseconds kEvacuationMargin{2000};
 
+void StartAttempt(StatementJob& job, double answer_ms, Instant now) {
+  job.attempt_started = now;
+  job.attempt_deadline = job.deadline;
+  if (job.kind != JobKind::kWrite && !job.is_pinned) {
+    const auto patience =
+        std::max(kMinimumReadAttempt, milliseconds(static_cast<std::int64_t>(
+                                          answer_ms * kReadAttemptPerAnswer)));
+    job.attempt_deadline = std::min(job.deadline, now + patience);
+  }
+}
+
 }  // namespace
 
 ServicePool::ServicePool(ProxyContext& context, std::string service)
@@ -331,14 +343,7 @@
   Endpoint& endpoint = this->endpoints.at(*chosen);
   job->endpoint_id = *chosen;
   ++endpoint.outstanding;
-  job->attempt_started = now;
-  job->attempt_deadline = job->deadline;
-  if (job->kind != JobKind::kWrite) {
-    const auto patience = std::max(
-        kMinimumReadAttempt, milliseconds(static_cast<std::int64_t>(
-                                 endpoint.answer_ms * kReadAttemptPerAnswer)));
-    job->attempt_deadline = std::min(job->deadline, now + patience);
-  }
+  StartAttempt(*job, endpoint.answer_ms, now);
   job->is_waiting_for_connection = true;
   endpoint.waiting.push_back(job);
   this->Pump(*chosen);
@@ -350,9 +355,8 @@
 }
 
 double ServicePool::KeptConnections() const {
-  // Half of the share: the rest stays free for VMs under load.
-  const double share = this->ConnectionShare();
-  return share < 1 ? 0 : std::max(1.0, std::floor(share / 2));
+  // A new connection takes a slot for as long as half a statement.
+  return std::floor(this->ConnectionShare());
 }
 
 bool ServicePool::IsInOwnRegion(const std::string& data_centre) const {
@@ -413,8 +417,7 @@
   std::shared_ptr<EndpointConnection> oldest_idle;
   int same_account_opening = 0;
   for (const auto& connection : endpoint.connections) {
-    if (!connection->IsOpen() || connection->IsBusy() ||
-        connection->is_pinned) {
+    if (!connection->IsOpen() || !connection->IsFree()) {
       continue;
     }
     if (!oldest_idle || connection->last_used < oldest_idle->last_used) {
@@ -700,9 +703,15 @@
        {"attempt", job->attempts},
        {"primary", this->IsPrimary(job->endpoint_id)},
        {"elapsed_ms", kernel::ToMilliseconds(now - job->arrived)}});
+  if (this->MayRepeat(*job, reply) && this->RepeatLater(job, now)) {
+    return;
+  }
   const bool is_read = job->kind != JobKind::kWrite;
-  const bool may_repeat = statements::IsNotRun(reply.error) ||
-                          (is_read && reply.error == ErrorCode::kFailed);
+  const bool is_out_of_time =
+      job->deadline < now + kRetryPause && reply.error == ErrorCode::kBusy;
+  const bool may_repeat =
+      !is_out_of_time && (statements::IsNotRun(reply.error) ||
+                          (is_read && reply.error == ErrorCode::kFailed));
   if (job->is_pinned) {
     JobResult result;
     result.reply = reply;
@@ -732,6 +741,49 @@
   this->Retry(job, now + kRetryPause);
 }
 
+bool ServicePool::MayRepeat(const StatementJob& job,
+                            const EndpointReply& reply) const {
+  // A read outside a transaction is better tried elsewhere.
+  const bool is_bound = job.is_pinned || job.kind != JobKind::kRead ||
+                        reply.state == TransactionState::kOpen;
+  return reply.error == ErrorCode::kBusy && is_bound &&
+         reply.state != TransactionState::kFailed && job.connection->IsOpen();
+}
+
+bool ServicePool::RepeatLater(const JobPointer& job, Instant now) {
+  ++job->busy_refusals;
+  std::uniform_real_distribution<double> draw(0, 1);
+  const Instant repeat_at =
+      now + routing::BusyBackoff(job->busy_refusals, draw(this->random));
+  if (repeat_at >= job->deadline) {
+    return false;
+  }
+  job->is_sent = false;
+  job->repeat_at = repeat_at;
+  job->connection->is_reserved = true;
+  return true;
+}
+
+void ServicePool::Repeat(const JobPointer& job, Instant now) {
+  job->repeat_at = Instant();
+  job->connection->is_reserved = false;
+  if (!job->connection->IsOpen()) {
+    this->OnLost(job);
+    return;
+  }
+  if (const Endpoint* endpoint = this->Find(job->endpoint_id)) {
+    StartAttempt(*job, endpoint->answer_ms, now);
+  }
+  if (job->connection->is_pinned) {
+    this->SendStatement(job, std::nullopt);
+  } else if (this->Choose(*job, now) == job->endpoint_id) {
+    this->Dispatch(job, job->connection);
+  } else {
+    // The primary was replaced meanwhile.
+    this->Retry(job, now);
+  }
+}
+
 void ServicePool::Retry(const JobPointer& job, Instant retry_at) {
   this->LeaveEndpoint(job, true);
   job->retry_at = retry_at;
@@ -755,6 +807,7 @@
   if (!connection) {
     return;
   }
+  connection->is_reserved = false;
   if (!keep_connection || connection->IsBusy()) {
     this->Discard(connection);
   } else if (connection->is_pinned) {
@@ -820,7 +873,7 @@
   }
   this->Pump(owner->info.id);
   const double kept = this->KeptConnections();
-  if (!connection->IsBusy() && !connection->is_pinned &&
+  if (connection->IsFree() &&
       static_cast<double>(owner->connections.size()) > kept) {
     this->Discard(connection);
   }
@@ -867,6 +920,12 @@
     }
     return;
   }
+  if (job->repeat_at != Instant()) {
+    if (now >= job->repeat_at) {
+      this->Repeat(job, now);
+    }
+    return;
+  }
   if (now < job->attempt_deadline) {
     return;
   }
@@ -876,7 +935,7 @@
     // Connections that were idle all the while may be silent as well.
     const auto connections = endpoint->connections;
     for (const auto& connection : connections) {
-      if (!connection->IsBusy() && !connection->is_pinned &&
+      if (connection->IsFree() &&
           connection->last_used < job->attempt_started) {
         this->Discard(connection);
       }
@@ -916,7 +975,7 @@
     std::erase_if(endpoint.opening,
                   [](const auto& entry) { return entry.first->IsClosed(); });
     std::erase_if(endpoint.connections, [&](const auto& connection) {
-      const bool is_idle = !connection->IsBusy() && !connection->is_pinned &&
+      const bool is_idle = connection->IsFree() &&
                            now >= connection->last_used + kIdleConnection;
       if (is_idle) {
         connection->Close();
@@ -991,11 +1050,9 @@
         this->Retry(job, this->context.clock.Now());
       }
     }
-    const bool is_in_use =
-        std::any_of(endpoint.connections.begin(), endpoint.connections.end(),
-                    [](const auto& connection) {
-                      return connection->IsBusy() || connection->is_pinned;
-                    });
+    const bool is_in_use = std::any_of(
+        endpoint.connections.begin(), endpoint.connections.end(),
+        [](const auto& connection) { return !connection->IsFree(); });
     if (is_in_use) {
       continue;
     }
--- a/programs/laburnumkeel-proxy/service_pool.h
+++ b/programs/laburnumkeel-proxy/service_pool.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -146,6 +147,12 @@
   void RecordAnswer(const StatementJob& job,
                     const statements::EndpointReply& reply);
 
+  // True when a refused statement is best sent again on its connection.
+  bool MayRepeat(const StatementJob& job,
+                 const statements::EndpointReply& reply) const;
+  // False when the statement has no time left for it.
+  bool RepeatLater(const JobPointer& job, kernel::Instant now);
+  void Repeat(const JobPointer& job, kernel::Instant now);
   // Leaves the endpoint and tries again at `retry_at`.
   void Retry(const JobPointer& job, kernel::Instant retry_at);
   void LeaveEndpoint(const JobPointer& job, bool keep_connection);
@@ -170,6 +177,7 @@
   std::uint64_t primary_version = 0;
   kernel::Instant primary_adopted;
   bool is_sampling = false;
+  std::mt19937 random{std::random_device{}()};
 };
 
 }  // namespace laburnumkeel::proxy
--- a/programs/laburnumkeel-proxy/statement_job.h
+++ b/programs/laburnumkeel-proxy/statement_job.h
@@ -80,6 +80,11 @@
   kernel::Instant attempt_started;
   kernel::Instant attempt_deadline;
   kernel::Instant retry_at;
+  // The endpoint was busy; the statement is sent again on `connection` then.
+  // Zero when it does not wait for that.
+  kernel::Instant repeat_at;
+  // Refusals of a busy endpoint.
+  int busy_refusals = 0;
 };
 
 using JobPointer = std::shared_ptr<StatementJob>;
--- a/tests/proxy/service_pool_test.cpp
+++ b/tests/proxy/service_pool_test.cpp
@@ -24,6 +24,9 @@
   CPPUNIT_TEST_SUITE(ServicePoolTest);
   CPPUNIT_TEST(LostAnswerOfAWriteIsUnknown);
   CPPUNIT_TEST(RefusedWriteIsSentAgain);
+  CPPUNIT_TEST(BusyPrimaryIsAskedAgainOnTheSameConnection);
+  CPPUNIT_TEST(BusyPrimaryIsAskedMoreAndMoreRarely);
+  CPPUNIT_TEST(BusyEndpointDoesNotEndATransaction);
   CPPUNIT_TEST(FailedWriteIsNotSentAgain);
   CPPUNIT_TEST(LostAnswerOfAReadMovesOn);
   CPPUNIT_TEST(StrictReadNeedsAProof);
@@ -86,6 +89,44 @@
     CPPUNIT_ASSERT_EQUAL(2, this->primary->Count("QUERY id WRITE 1 data"));
   }
 
+  // Load pattern: more writes than the primary's slots can run. Guards against
+  // a new connection for each attempt, which takes a slot itself.
+  void BusyPrimaryIsAskedAgainOnTheSameConnection() {
+    auto configuration = std::make_shared<model::ProxyConfiguration>(
+        *this->context->configuration);
+    configuration->services["s"] = {"s", 1, 0};
+    this->context->configuration = configuration;
+    this->context->vm_count = 5;
+    this->RefuseAsBusy("WRITE", 3);
+    const JobResult result = this->Run(this->Write());
+    CPPUNIT_ASSERT(result.reply && result.reply->signature);
+    CPPUNIT_ASSERT_EQUAL(4, this->primary->Count("WRITE 1 data"));
+    CPPUNIT_ASSERT_EQUAL(1, this->primary->Connections());
+  }
+
+  // Guards against statements that use up their attempts, and the primary's
+  // time, within a small part of the time that they have.
+  void BusyPrimaryIsAskedMoreAndMoreRarely() {
+    this->RefuseAsBusy("WRITE", 1000);
+    const JobResult result = this->Run(this->Write());
+    CPPUNIT_ASSERT(result.reply->error == ErrorCode::kBusy);
+    CPPUNIT_ASSERT(this->primary->Count("WRITE 1 data") >= 5);
+    CPPUNIT_ASSERT(this->primary->Count("WRITE 1 data") <= 12);
+  }
+
+  // Guards against a transaction that fails because one statement met a full
+  // queue.
+  void BusyEndpointDoesNotEndATransaction() {
+    this->Prove();
+    const JobResult begun = this->Run(this->FirstOfTransaction());
+    this->RefuseAsBusy("WRITE", 2);
+    const JobResult written = this->RunPinned(this->Write(), begun.connection);
+    CPPUNIT_ASSERT(written.reply && written.reply->signature);
+    CPPUNIT_ASSERT(written.connection == begun.connection);
+    CPPUNIT_ASSERT_EQUAL(1, this->primary->Count("BEGIN"));
+    CPPUNIT_ASSERT_EQUAL(0, this->primary->Count("ROLLBACK"));
+  }
+
   // Guards against repeating a write that ran before it failed.
   void FailedWriteIsNotSentAgain() {
     this->primary->SetScript([](std::string_view) {
@@ -307,6 +348,17 @@
     this->context->endpoints[id] = endpoint;
   }
 
+  // The primary refuses the first `count` statements that contain `word`.
+  void RefuseAsBusy(const std::string& word, int count) {
+    this->primary->SetScript(
+        [this, word, count](std::string_view line) -> std::string {
+          const bool is_refused = line.find(word) != std::string_view::npos &&
+                                  this->primary->Count(word) <= count;
+          return is_refused ? this->primary->Refuse("BUSY full")
+                            : this->primary->Succeed(line);
+        });
+  }
+
   void Prove() {
     this->context->primaries.ConfirmAll(100, this->context->clock.Now());
   }
--- a/tests/support/fake_database.h
+++ b/tests/support/fake_database.h
@@ -66,11 +66,20 @@
     if (is(" COMMIT") || is(" ROLLBACK")) {
       this->in_transaction = false;
     }
-    const std::string state = this->in_transaction ? "T" : "I";
-    return "COMPLETE sig\r\nREADY " + state + " 1.5\r\n";
+    return "COMPLETE sig\r\n" + this->Ready();
+  }
+
+  // An error that leaves the transaction's state as it is.
+  std::string Refuse(std::string_view error) const {
+    return "ERROR " + std::string(error) + "\r\n" + this->Ready();
   }
 
  private:
+  std::string Ready() const {
+    return std::string("READY ") + (this->in_transaction ? "T" : "I") +
+           " 1.5\r\n";
+  }
+
   void Accept() {
     this->acceptor.async_accept([this](boost::system::error_code error,
                                        boost::asio::ip::tcp::socket socket) {
