Give shares of one operation as before, log rejected lines and lost answers

The rule that gave out shares of a single operation only while much was left also took such shares back, with the operation they held.

Change: the rule is gone.

A settings file that changes without a signal is read within a second.

Clean-up: one DismissIdleSessions, no dead accessors, the reason of an aborted transaction is used, a starting VM is not logged as isolated.

--- a/programs/laburnumkeel-proxy/client_session.cpp
+++ b/programs/laburnumkeel-proxy/client_session.cpp
@@ -45,9 +45,9 @@
           session->OnLine(line);
         }
       },
-      [weak] {
+      [weak](transport::LineStream::CloseReason reason) {
         if (const auto session = weak.lock()) {
-          session->End();
+          session->OnClosed(reason);
         }
       });
 }
@@ -61,10 +61,6 @@
   return !this->job && this->state != TransactionState::kIdle;
 }
 
-std::string ClientSession::TransactionService() const {
-  return this->transaction ? this->route.service : std::string();
-}
-
 void ClientSession::End() {
   if (this->has_ended) {
     return;
@@ -94,7 +90,14 @@
       .RollBack(std::exchange(this->transaction, nullptr));
 }
 
-void ClientSession::AbortTransaction(const std::string&) {
+void ClientSession::AbortTransaction(const std::string& reason) {
+  ProxyContext& context = this->environment.context;
+  context.metrics.Count("transactions_aborted");
+  context.request_log.Write(kTransactionAborted, context.clock.Now(),
+                            {{"database", this->database},
+                             {"account", this->account},
+                             {"previous_request", this->statement_id},
+                             {"reason", reason}});
   this->LeaveTransaction();
   if (this->state == TransactionState::kOpen) {
     this->state = TransactionState::kFailed;
@@ -105,7 +108,7 @@
   this->last_activity = this->environment.context.clock.Now();
   if (this->job || this->is_admitting) {
     if (this->queued_lines.size() >= kMaximumQueuedLines) {
-      this->End();
+      this->RejectLine("too many lines wait for an answer", line.size());
       return;
     }
     this->queued_lines.emplace_back(line);
@@ -123,14 +126,37 @@
   }
   const auto* statement = std::get_if<Statement>(&message);
   if (statement == nullptr || !this->is_started) {
-    this->stream->Write(
-        platform_adapter::EncodeError(ErrorCode::kMalformed, "not a message"));
-    this->End();
+    this->RejectLine(
+        statement == nullptr ? "not a message" : "a statement before STARTUP",
+        line.size());
     return;
   }
   this->OnStatement(*statement);
 }
 
+void ClientSession::OnClosed(transport::LineStream::CloseReason reason) {
+  if (reason == transport::LineStream::CloseReason::kLineTooLong) {
+    this->RejectLine("the line is too long",
+                     transport::LineStream::kMaximumLineBytes);
+    return;
+  }
+  this->End();
+}
+
+void ClientSession::RejectLine(const std::string& reason, std::size_t bytes) {
+  ProxyContext& context = this->environment.context;
+  context.metrics.Count("client_lines_rejected");
+  context.request_log.Write(kClientLineRejected, context.clock.Now(),
+                            {{"database", this->database},
+                             {"account", this->account},
+                             {"previous_request", this->statement_id},
+                             {"bytes", bytes},
+                             {"reason", reason}});
+  this->stream->Write(
+      platform_adapter::EncodeError(ErrorCode::kMalformed, reason));
+  this->End();
+}
+
 void ClientSession::ProcessNext() {
   while (!this->job && !this->is_admitting && !this->queued_lines.empty() &&
          !this->has_ended) {
@@ -142,7 +168,7 @@
 
 void ClientSession::OnStartup(const ClientStartup& startup) {
   if (this->is_started) {
-    this->End();
+    this->RejectLine("a second STARTUP", 0);
     return;
   }
   this->database = startup.database;
--- a/programs/laburnumkeel-proxy/client_session.h
+++ b/programs/laburnumkeel-proxy/client_session.h
@@ -52,14 +52,15 @@
   // Ends the open transaction; the client learns it with its next statement.
   void AbortTransaction(const std::string& reason);
 
-  // Endpoint on which the session has a transaction; empty without one.
-  std::string TransactionService() const;
   const std::shared_ptr<EndpointConnection>& TransactionConnection() const {
     return this->transaction;
   }
 
  private:
   void OnLine(std::string_view line);
+  void OnClosed(transport::LineStream::CloseReason reason);
+  // Ends the session because of what the client sent.
+  void RejectLine(const std::string& reason, std::size_t bytes);
   void OnStartup(const platform_adapter::ClientStartup& startup);
   void OnStatement(const statements::Statement& statement);
   void OnLocalStatement(const statements::Statement& statement);
@@ -95,7 +96,6 @@
   bool is_read_only_transaction = false;
   // Set while a transaction is open at an endpoint.
   std::shared_ptr<EndpointConnection> transaction;
-  std::string transaction_endpoint;
   bool transaction_wrote = false;
   model::DatabaseRoute route;
   std::string account;
--- a/programs/laburnumkeel-proxy/endpoint_connection.cpp
+++ b/programs/laburnumkeel-proxy/endpoint_connection.cpp
@@ -42,7 +42,7 @@
             connection->OnLine(line);
           }
         },
-        [weak] {
+        [weak](transport::LineStream::CloseReason) {
           if (const auto connection = weak.lock()) {
             connection->OnClosed();
           }
--- a/programs/laburnumkeel-proxy/events.h
+++ b/programs/laburnumkeel-proxy/events.h
@@ -71,6 +71,16 @@
 inline constexpr EventDefinition kEndpointRefused{
     6534, Severity::kInformation, "endpoint_refused",
     "an endpoint did not serve a statement, which may be tried elsewhere"};
+inline constexpr EventDefinition kClientLineRejected{
+    6535, Severity::kWarning, "client_line_rejected",
+    "a client sent what is no message of the protocol; its session ends"};
+inline constexpr EventDefinition kTransactionAborted{
+    6536, Severity::kInformation, "transaction_aborted",
+    "an open transaction was ended; its client learns it with its next "
+    "statement"};
+inline constexpr EventDefinition kAnswerLost{
+    6537, Severity::kWarning, "answer_lost",
+    "the connection to an endpoint ended before a statement's answer"};
 inline constexpr EventDefinition kDatagramIgnored{
     6533, Severity::kWarning, "datagram_ignored",
     "a datagram at the peer address is not a message of this program"};
@@ -79,18 +89,19 @@
     "neither the store nor the holder of the duty answers; readiness fails"};
 
 // All events of this program, for the catalogue.
-inline constexpr std::array kEvents{kProxyReady,      kProxyStopping,
-                                    kProxyStopped,    kSettingsReloaded,
-                                    kSettingsInvalid, kStoreLost,
-                                    kStoreRegained,   kConfigurationInForce,
-                                    kRowIgnored,      kEvacuationChanged,
-                                    kEndpointChanged, kPrimaryAdopted,
-                                    kDutyTaken,       kDutyLost,
-                                    kChangeStarted,   kChangeStep,
-                                    kChangeEnded,     kStatementRefused,
-                                    kSessionRefused,  kLinesOmitted,
-                                    kDatagramIgnored, kProxyIsolated,
-                                    kEndpointRefused};
+inline constexpr std::array kEvents{kProxyReady,         kProxyStopping,
+                                    kProxyStopped,       kSettingsReloaded,
+                                    kSettingsInvalid,    kStoreLost,
+                                    kStoreRegained,      kConfigurationInForce,
+                                    kRowIgnored,         kEvacuationChanged,
+                                    kEndpointChanged,    kPrimaryAdopted,
+                                    kDutyTaken,          kDutyLost,
+                                    kChangeStarted,      kChangeStep,
+                                    kChangeEnded,        kStatementRefused,
+                                    kSessionRefused,     kLinesOmitted,
+                                    kDatagramIgnored,    kProxyIsolated,
+                                    kEndpointRefused,    kClientLineRejected,
+                                    kTransactionAborted, kAnswerLost};
 
 }  // namespace laburnumkeel::proxy
 
--- a/programs/laburnumkeel-proxy/proxy.cpp
+++ b/programs/laburnumkeel-proxy/proxy.cpp
@@ -36,6 +36,9 @@
 constexpr milliseconds kIsolation{2000};
 // Part of the idle sessions of an isolated VM that is ended in each tick.
 constexpr std::size_t kIsolatedParts = 30;
+// The settings file may change without a signal; operators expect it to be in
+// force within a few seconds.
+constexpr std::chrono::seconds kSettingsCheck{1};
 // The program ends this long before it would be killed.
 constexpr milliseconds kStopMargin{800};
 
@@ -73,7 +76,11 @@
               return this->AnswerProbe(target);
             }),
       signals(this->context.loop, SIGTERM, SIGINT, SIGHUP),
-      tick_timer(this->context.loop) {}
+      tick_timer(this->context.loop) {
+  std::error_code error;
+  this->settings_written =
+      std::filesystem::last_write_time(this->settings_path, error);
+}
 
 int Proxy::Run() {
   if (!this->Listen()) {
@@ -145,7 +152,25 @@
   });
 }
 
+void Proxy::ReloadIfChanged(Instant now) {
+  if (now < this->settings_checked + kSettingsCheck) {
+    return;
+  }
+  this->settings_checked = now;
+  std::error_code error;
+  const auto written =
+      std::filesystem::last_write_time(this->settings_path, error);
+  // A file that is being replaced is looked at again in the next round.
+  if (error || written == this->settings_written) {
+    return;
+  }
+  this->Reload();
+}
+
 void Proxy::Reload() {
+  std::error_code error;
+  this->settings_written =
+      std::filesystem::last_write_time(this->settings_path, error);
   platform_adapter::SettingsResult result =
       platform_adapter::ReadSettingsFile(this->settings_path);
   if (!result.settings) {
@@ -178,7 +203,8 @@
 }
 
 void Proxy::EndIdleSessions(Instant now) {
-  if (!this->IsIsolated(now)) {
+  // A VM that has just started has not heard anybody yet.
+  if (!this->was_ready || !this->IsIsolated(now)) {
     this->isolated_since = Instant();
     return;
   }
@@ -189,15 +215,20 @@
   if (now < this->isolated_since + kBalancerDelay) {
     return;
   }
-  const std::vector<std::shared_ptr<ClientSession>> open(this->sessions.begin(),
-                                                         this->sessions.end());
-  std::size_t quota = open.size() / kIsolatedParts + 1;
-  for (const auto& session : open) {
-    if (quota > 0 && session->IsIdle()) {
-      session->Dismiss();
-      --quota;
+  this->DismissIdleSessions(this->sessions.size() / kIsolatedParts + 1);
+}
+
+void Proxy::DismissIdleSessions(std::size_t most) {
+  std::vector<std::shared_ptr<ClientSession>> idle;
+  for (const auto& session : this->sessions) {
+    if (idle.size() < most && session->IsIdle()) {
+      idle.push_back(session);
     }
   }
+  // A session that ends leaves the set.
+  for (const auto& session : idle) {
+    session->Dismiss();
+  }
 }
 
 transport::HttpAnswer Proxy::AnswerProbe(const std::string& target) {
@@ -226,10 +257,8 @@
     this->context.loop.stop();
     return;
   }
-  const std::vector<std::shared_ptr<ClientSession>> open(this->sessions.begin(),
-                                                         this->sessions.end());
   if (elapsed >= grace / 2) {
-    for (const auto& session : open) {
+    for (const auto& session : this->sessions) {
       if (session->IsIdleInTransaction()) {
         session->AbortTransaction("the VM stops");
       }
@@ -238,19 +267,14 @@
   if (elapsed < kBalancerDelay) {
     return;
   }
-  if (open.empty()) {
+  if (this->sessions.empty()) {
     this->context.loop.stop();
     return;
   }
-  const auto remaining = std::max<std::int64_t>(
+  const auto remaining_ticks = std::max<std::int64_t>(
       1, (kBalancerDelay + kIdleSessionSpread - elapsed) / kBusyTick);
-  std::int64_t quota = static_cast<std::int64_t>(open.size()) / remaining + 1;
-  for (const auto& session : open) {
-    if (quota > 0 && session->IsIdle()) {
-      session->Dismiss();
-      --quota;
-    }
-  }
+  this->DismissIdleSessions(
+      this->sessions.size() / static_cast<std::size_t>(remaining_ticks) + 1);
 }
 
 void Proxy::ScheduleTick() {
@@ -277,6 +301,7 @@
   this->gate.Tick(now);
   this->EndIdleTransactions(now);
   this->EndIdleSessions(now);
+  this->ReloadIfChanged(now);
   if (this->context.is_stopping) {
     this->ContinueStop(now);
   }
--- a/programs/laburnumkeel-proxy/proxy.h
+++ b/programs/laburnumkeel-proxy/proxy.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <filesystem>
 #include <map>
 #include <memory>
 #include <set>
@@ -33,6 +34,7 @@
   void Accept();
   void WaitForSignal();
   void Reload();
+  void ReloadIfChanged(kernel::Instant now);
   void BeginStop();
   void ContinueStop(kernel::Instant now);
   void ScheduleTick();
@@ -44,6 +46,7 @@
   // a while: other VMs serve clients better.
   bool IsIsolated(kernel::Instant now) const;
   void EndIdleSessions(kernel::Instant now);
+  void DismissIdleSessions(std::size_t most);
   void EndIdleTransactions(kernel::Instant now);
   transport::HttpAnswer AnswerProbe(const std::string& target);
 
@@ -61,6 +64,9 @@
   boost::asio::signal_set signals;
   boost::asio::steady_timer tick_timer;
   kernel::Instant stop_started;
+  // When the settings file was last written and last looked at.
+  std::filesystem::file_time_type settings_written;
+  kernel::Instant settings_checked;
   // When the VM became isolated; zero while it is not.
   kernel::Instant isolated_since;
   bool was_ready = false;
--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -668,6 +668,15 @@
       this->Suspend(*endpoint, now);
     }
   }
+  this->context.metrics.Count("answers_lost");
+  this->context.request_log.Write(
+      kAnswerLost, now,
+      {{"request", job->statement.id},
+       {"service", this->service},
+       {"endpoint", job->endpoint_id},
+       {"sent", job->is_sent},
+       {"in_transaction", job->is_pinned},
+       {"elapsed_ms", kernel::ToMilliseconds(now - job->arrived)}});
   const bool may_have_committed =
       job->is_sent && (job->statement.kind == StatementKind::kCommit ||
                        (job->kind == JobKind::kWrite &&
--- a/src/laburnumkeel/limits/rate_coordinator.cpp
+++ b/src/laburnumkeel/limits/rate_coordinator.cpp
@@ -19,10 +19,6 @@
 // which comes early when it does.
 constexpr double kKeptPart = 0.75;
 
-// Shares of a single operation are given out while this part of the smallest
-// remainder is left, so that half of it bridges the time until they are full.
-constexpr double kPlentyPart = 0.5;
-
 // The coordinator itself uses the remainder, until the next change of it.
 constexpr kernel::Instant kNoExpiry = kernel::Instant::max();
 
@@ -189,16 +185,8 @@
   if (total_demand > 0 && available.burst >= kOneOperation &&
       !this->published_silent.contains(vm)) {
     ShareAmount target = Scaled(shared, (report.demand + base) / total_demand);
-    if (target.burst < kOneOperation) {
-      // A share that never holds a whole operation is of no use. Rounded up, it
-      // fills slowly: that is paid for only while much is left.
-      const double plenty =
-          SmallestRemainder(limit, static_cast<int>(this->vms.size())).burst *
-          kPlentyPart;
-      target = account.remainder.Available(now) >= plenty
-                   ? ShareAmount{target.rate, kOneOperation}
-                   : Smaller(target, report.held);
-    }
+    // A share that never holds a whole operation is of no use.
+    target.burst = std::max(target.burst, kOneOperation);
     grant.share =
         Smaller(Smaller(target, Larger(most, {0, kOneOperation})), available);
     grant.share = {RoundedDown(grant.share.rate),
--- a/src/laburnumkeel/transport/line_stream.cpp
+++ b/src/laburnumkeel/transport/line_stream.cpp
@@ -32,7 +32,7 @@
       asio::buffer(this->read_buffer),
       [self = this->shared_from_this()](error_code error, std::size_t size) {
         if (error) {
-          self->Fail();
+          self->Fail(CloseReason::kFarEnd);
           return;
         }
         self->Consume(size);
@@ -47,7 +47,7 @@
   this->pending_input.append(this->read_buffer.data(), size);
   this->DispatchLines();
   if (this->pending_input.size() > kMaximumLineBytes) {
-    this->Fail();
+    this->Fail(CloseReason::kLineTooLong);
   }
 }
 
@@ -102,7 +102,7 @@
                                  error_code error, std::size_t size) {
         self->is_writing = false;
         if (error) {
-          self->Fail();
+          self->Fail(CloseReason::kFarEnd);
           return;
         }
         self->pending_output.insert(0, output->substr(size));
@@ -133,14 +133,14 @@
   }
 }
 
-void LineStream::Fail() {
+void LineStream::Fail(CloseReason reason) {
   if (this->is_closed) {
     return;
   }
   const CloseHandler handler = std::move(this->close_handler);
   this->Close();
   if (handler) {
-    handler();
+    handler(reason);
   }
 }
 
--- a/src/laburnumkeel/transport/line_stream.h
+++ b/src/laburnumkeel/transport/line_stream.h
@@ -20,9 +20,13 @@
 
   // Receives a line without its end; valid during the call only.
   using LineHandler = std::function<void(std::string_view line)>;
-  // Runs once when the far end closes, on an error, or on a line too long; not
-  // after `Close`.
-  using CloseHandler = std::function<void()>;
+  enum class CloseReason {
+    // The far end closed the connection, or it broke.
+    kFarEnd,
+    kLineTooLong,
+  };
+  // Runs once when the connection ends, but not after `Close`.
+  using CloseHandler = std::function<void(CloseReason reason)>;
 
   explicit LineStream(boost::asio::ip::tcp::socket socket);
 
@@ -47,7 +51,7 @@
   void Consume(std::size_t size);
   void DispatchLines();
   void ContinueWrite();
-  void Fail();
+  void Fail(CloseReason reason);
 
   boost::asio::ip::tcp::socket socket;
   LineHandler line_handler;
--- a/tests/support/fake_database.h
+++ b/tests/support/fake_database.h
@@ -94,7 +94,7 @@
             this->lines.emplace_back(number, line);
             this->Answer(*weak.lock(), line);
           },
-          [] {});
+          [](transport::LineStream::CloseReason) {});
       this->Accept();
     });
   }
