Bound what one VM of a large fleet can hold of an account's shares

Change: a VM gets at most five times its equal part, and a successor holds back twice that for each VM it has not heard of, since its predecessor may have known fewer VMs.

LostVmDoesNotHoldBackALargeFleet failed before: 90 of 1,002 refused.

--- a/src/laburnumkeel/limits/rate_coordinator.cpp
+++ b/src/laburnumkeel/limits/rate_coordinator.cpp
@@ -14,6 +14,10 @@
 // that a quiet VM keeps a little for its next client.
 constexpr double kBaseDemand = 0.01;
 
+// A VM gets at most this many times its equal part of the shares: clients are
+// spread unevenly, but over many VMs.
+constexpr double kEqualPartsOfOneVm = 5;
+
 // Part of what is left that is kept for a successor. An account within its rate
 // needs no more than the refill and the other part until the next publication,
 // which comes early when it does.
@@ -146,6 +150,19 @@
   return Scaled(limit, ReservedFraction(vm_count) / std::max(vm_count, 1));
 }
 
+double RateCoordinator::MaximumVmFraction(int vm_count) {
+  return std::min(kMaximumVmFraction,
+                  kEqualPartsOfOneVm / std::max(vm_count, 1));
+}
+
+ShareAmount RateCoordinator::UnknownShare(const ShareAmount& shared,
+                                          int vm_count) {
+  // The predecessor may have known fewer VMs.
+  const double fraction =
+      std::min(kMaximumVmFraction, 2 * MaximumVmFraction(vm_count));
+  return Larger(Scaled(shared, fraction), {0, kOneOperation});
+}
+
 int RateCoordinator::UnknownVms(kernel::Instant now) const {
   if (now >= this->took_over + kShareRemoval) {
     return 0;
@@ -175,10 +192,11 @@
     }
   }
   const ShareAmount shared = Scaled(limit, kShareFraction);
-  const ShareAmount most = Scaled(shared, kMaximumVmFraction);
-  const int unknown_vms = this->UnknownVms(now);
+  const int vm_count = static_cast<int>(this->vms.size());
+  const ShareAmount most = Scaled(shared, MaximumVmFraction(vm_count));
   const ShareAmount unknown =
-      Smaller(Scaled(most, unknown_vms), NotNegative(shared - others));
+      Smaller(Scaled(UnknownShare(shared, vm_count), this->UnknownVms(now)),
+              NotNegative(shared - others));
   const ShareAmount available =
       Larger(NotNegative(shared - others - unknown), report.held);
   AccountGrant grant;
@@ -201,7 +219,6 @@
   holding.demand = report.demand;
   holding.lapses = now + kShareRemoval;
 
-  const int vm_count = static_cast<int>(this->vms.size());
   const ShareAmount rest =
       NotNegative(Scaled(limit, 1 - ReservedFraction(vm_count)) - others -
                   holding.counted - unknown);
--- a/src/laburnumkeel/limits/rate_coordinator.h
+++ b/src/laburnumkeel/limits/rate_coordinator.h
@@ -127,6 +127,10 @@
     TokenBucket remainder;
   };
 
+  // Part of all shares that one of `vm_count` VMs can hold.
+  static double MaximumVmFraction(int vm_count);
+  // What a VM that has not reported may hold of the predecessor's shares.
+  static ShareAmount UnknownShare(const ShareAmount& shared, int vm_count);
   // What is left for single operations when all shares are given out.
   static ShareAmount SmallestRemainder(const ShareAmount& limit, int vm_count);
 
--- a/tests/limits/rate_coordinator_test.cpp
+++ b/tests/limits/rate_coordinator_test.cpp
@@ -239,6 +239,7 @@
   CPPUNIT_TEST(LoweredShareCountsUntilItIsConfirmed);
   CPPUNIT_TEST(ClientsThatAllBeginAtOnceAreServed);
   CPPUNIT_TEST(ClientsThatReturnAfterAllVmsRestartedAreServed);
+  CPPUNIT_TEST(LostVmDoesNotHoldBackALargeFleet);
   CPPUNIT_TEST(KeptOperationsAreNotGranted);
   CPPUNIT_TEST(KeptOperationsOfAnUnconfirmedWriteAreNotGranted);
   CPPUNIT_TEST(SuccessorPassesOnWhatItHasNotUsed);
@@ -419,6 +420,29 @@
         refused <= 0.1 * asked);
   }
 
+  // Load pattern: all VMs are killed, and one of them does not come back.
+  // Guards against holding back for it what no VM of a large fleet can hold.
+  void LostVmDoesNotHoldBackALargeFleet() {
+    int refused = 0;
+    double asked = 0;
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+      Fleet fleet(89, seed);
+      SpreadDemand(fleet);
+      fleet.Run(std::chrono::seconds(20));
+      fleet.RestartAll(std::chrono::seconds(1));
+      fleet.SetCutOff(88, true);
+      fleet.Run(std::chrono::seconds(3));
+      fleet.ForgetAsked();
+      fleet.Run(std::chrono::seconds(4));
+      refused += fleet.Refused();
+      asked += fleet.Asked();
+      AssertWithinLimit(fleet, "seed " + std::to_string(seed));
+    }
+    CPPUNIT_ASSERT_MESSAGE(
+        std::to_string(refused) + " of " + std::to_string(asked) + " refused",
+        refused <= 0.01 * asked);
+  }
+
   // Guards against a successor that starts with operations which its
   // predecessor granted after it had published them.
   void KeptOperationsAreNotGranted() {
