Ask the coordinator for an operation once

Cause: a VM reports every 30 ms while operations wait, and each report asked for all of them. In a deployment with 40 ms between a VM and the coordinator most were granted twice, and the second grant lapsed unused.

Change: an operation is asked for again only after 100 ms without an answer, or when the coordinator has more soon. An answer refuses only what its own report asked for.

OperationIsAskedForOnce failed before.

--- a/programs/laburnumkeel-proxy/account_gate.cpp
+++ b/programs/laburnumkeel-proxy/account_gate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "laburnumkeel/limits/vm_share.h"
 
@@ -57,51 +58,81 @@
     handler(false);
     return;
   }
-  account.waiting.push_back({now, std::move(handler)});
+  account.waiting.push_back({now, Instant(), std::move(handler)});
   this->request_grant();
 }
 
-std::map<std::string, limits::AccountReport> AccountGate::Report(
-    Instant now) const {
+std::map<std::string, limits::AccountReport> AccountGate::Report(Instant now) {
   std::map<std::string, limits::AccountReport> report;
-  for (const auto& [name, account] : this->accounts) {
+  for (auto& [name, account] : this->accounts) {
     if (!account.allowance.IsUnused(now)) {
-      report[name] = account.allowance.Report(
-          static_cast<int>(account.waiting.size()), now);
+      report[name] = account.allowance.Report(CountToAsk(account, now), now);
     }
   }
   return report;
 }
 
 std::map<std::string, limits::AccountReport> AccountGate::ReportWaiting(
-    Instant now) const {
+    Instant now) {
   std::map<std::string, limits::AccountReport> report;
-  for (const auto& [name, account] : this->accounts) {
-    if (!account.waiting.empty()) {
-      report[name] = account.allowance.Report(
-          static_cast<int>(account.waiting.size()), now);
+  for (auto& [name, account] : this->accounts) {
+    if (const int wanted = CountToAsk(account, now)) {
+      report[name] = account.allowance.Report(wanted, now);
     }
   }
   return report;
 }
 
+bool AccountGate::HasToAsk(const Waiting& operation, Instant now) {
+  return operation.asked_at == Instant() ||
+         now >= operation.asked_at + kAskAgain;
+}
+
+void AccountGate::RequestIfDue(const Account& account, Instant now) {
+  const bool is_due = std::any_of(
+      account.waiting.begin(), account.waiting.end(),
+      [now](const Waiting& operation) { return HasToAsk(operation, now); });
+  if (is_due) {
+    this->request_grant();
+  }
+}
+
+int AccountGate::CountToAsk(Account& account, Instant now) {
+  int wanted = 0;
+  for (Waiting& operation : account.waiting) {
+    if (HasToAsk(operation, now)) {
+      operation.asked_at = now;
+      ++wanted;
+    }
+  }
+  return wanted;
+}
+
 void AccountGate::OnGrant(const std::string& name,
                           const limits::AccountGrant& grant, Instant sent) {
   const Instant now = this->context.clock.Now();
   Account& account = this->accounts[name];
   account.allowance.OnGrant(grant, sent, now);
   this->Serve(account, now);
-  // What was asked for before the report and still waits was not granted.
-  while (!grant.is_more_soon && !account.waiting.empty() &&
-         account.waiting.front().since <= sent) {
-    account.exhausted_until = now + kExhaustedPause;
-    const Handler handler = std::move(account.waiting.front().handler);
-    account.waiting.pop_front();
-    handler(false);
+  // What the report asked for and still waits was not granted.
+  std::vector<Handler> refused;
+  for (auto operation = account.waiting.begin();
+       operation != account.waiting.end();) {
+    if (operation->asked_at != sent) {
+      ++operation;
+    } else if (grant.is_more_soon) {
+      operation->asked_at = Instant();
+      ++operation;
+    } else {
+      account.exhausted_until = now + kExhaustedPause;
+      refused.push_back(std::move(operation->handler));
+      operation = account.waiting.erase(operation);
+    }
   }
-  if (!account.waiting.empty()) {
-    this->request_grant();
+  for (const Handler& handler : refused) {
+    handler(false);
   }
+  this->RequestIfDue(account, now);
 }
 
 void AccountGate::OnAnswer(Instant sent) {
@@ -128,6 +159,7 @@
       account.waiting.pop_front();
       handler(false);
     }
+    this->RequestIfDue(account, now);
   }
 }
 
--- a/programs/laburnumkeel-proxy/account_gate.h
+++ b/programs/laburnumkeel-proxy/account_gate.h
@@ -34,11 +34,11 @@
   // Calls `handler` at once, or when the coordinator has answered.
   void Admit(const std::string& account, Handler handler);
 
-  std::map<std::string, limits::AccountReport> Report(
-      kernel::Instant now) const;
-  // Only accounts whose operations wait for a grant.
+  // What to report at `now`, with the operations that have to be asked for.
+  std::map<std::string, limits::AccountReport> Report(kernel::Instant now);
+  // Only accounts with operations that have to be asked for.
   std::map<std::string, limits::AccountReport> ReportWaiting(
-      kernel::Instant now) const;
+      kernel::Instant now);
 
   void OnGrant(const std::string& account, const limits::AccountGrant& grant,
                kernel::Instant sent);
@@ -63,8 +63,15 @@
   static constexpr std::chrono::milliseconds kWaitForCoordinator{1000};
   static constexpr std::chrono::milliseconds kCoordinatorGone{3500};
 
+  // Without an answer an operation is asked for again. A question that is
+  // asked twice is granted twice, and the second grant lapses.
+  static constexpr std::chrono::milliseconds kAskAgain{100};
+
   struct Waiting {
     kernel::Instant since;
+    // When it was last asked for; zero before, and when it may be asked for
+    // again.
+    kernel::Instant asked_at;
     Handler handler;
   };
   struct Account {
@@ -73,6 +80,10 @@
     kernel::Instant exhausted_until;
   };
 
+  static bool HasToAsk(const Waiting& operation, kernel::Instant now);
+  void RequestIfDue(const Account& account, kernel::Instant now);
+  // Marks the operations that it counts as asked for.
+  static int CountToAsk(Account& account, kernel::Instant now);
   void Serve(Account& account, kernel::Instant now);
   std::chrono::milliseconds MaximumWait(kernel::Instant now) const;
 
--- a/tests/proxy/account_gate_test.cpp
+++ b/tests/proxy/account_gate_test.cpp
@@ -17,6 +17,8 @@
   CPPUNIT_TEST(ExcessIsRefusedWithoutAsking);
   CPPUNIT_TEST(OperationWaitsForWhatIsPublishedSoon);
   CPPUNIT_TEST(BriefReportHoldsOnlyWhatWaits);
+  CPPUNIT_TEST(OperationIsAskedForOnce);
+  CPPUNIT_TEST(LostQuestionIsAskedAgain);
   CPPUNIT_TEST(OperationDoesNotWaitForever);
   CPPUNIT_TEST(NothingWaitsForACoordinatorThatIsLongGone);
   CPPUNIT_TEST_SUITE_END();
@@ -83,6 +85,28 @@
     CPPUNIT_ASSERT(this->gate->Report(now).contains("acc"));
   }
 
+  // Load pattern: operations of one account arrive faster than the coordinator
+  // in another region answers. Guards against grants for operations that were
+  // granted already, which take from the account's limit and lapse.
+  void OperationIsAskedForOnce() {
+    this->Admit();
+    kernel::Instant now = this->context->clock.Now();
+    CPPUNIT_ASSERT_EQUAL(1, this->gate->ReportWaiting(now).at("acc").wanted);
+    this->context->clock.Advance(milliseconds(30));
+    this->Admit();
+    now = this->context->clock.Now();
+    CPPUNIT_ASSERT_EQUAL(1, this->gate->ReportWaiting(now).at("acc").wanted);
+    CPPUNIT_ASSERT_EQUAL(0, this->gate->Report(now).at("acc").wanted);
+  }
+
+  void LostQuestionIsAskedAgain() {
+    this->Admit();
+    this->gate->ReportWaiting(this->context->clock.Now());
+    this->context->clock.Advance(milliseconds(100));
+    const kernel::Instant now = this->context->clock.Now();
+    CPPUNIT_ASSERT_EQUAL(1, this->gate->ReportWaiting(now).at("acc").wanted);
+  }
+
   void OperationDoesNotWaitForever() {
     this->gate->OnAnswer(this->context->clock.Now());
     this->Admit();
@@ -104,6 +128,7 @@
   }
   void Grant(int operations, bool is_more_soon = false) {
     const kernel::Instant sent = this->context->clock.Now();
+    this->gate->ReportWaiting(sent);
     this->context->clock.Advance(milliseconds(20));
     this->gate->OnAnswer(sent);
     this->gate->OnGrant("acc", {{}, operations, is_more_soon}, sent);
