Keep operations of accounts without clients for a successor

Most accounts had not been used when the holder of the duty last published, so that its successor began with nothing for them.

Change: the holder publishes what is left of every configured account.

AccountWithoutClientsIsKept did not compile before; without the call it finds no entry.

--- a/programs/laburnumkeel-proxy/fleet_exchange.cpp
+++ b/programs/laburnumkeel-proxy/fleet_exchange.cpp
@@ -120,6 +120,10 @@
     const promotion::DutyRecord& record = *this->duty.Lease().Record();
     return {record.silent_vms, record.kept_operations};
   }
+  for (const auto& [name, account] : this->context.configuration->accounts) {
+    this->coordinator.AddAccount(name,
+                                 AccountLimit(this->context.settings, account));
+  }
   return {this->coordinator.SilentVms(now), this->coordinator.ProposeKept(now)};
 }
 
--- a/src/laburnumkeel/limits/rate_coordinator.h
+++ b/src/laburnumkeel/limits/rate_coordinator.h
@@ -83,6 +83,11 @@
   void Reset(const std::set<std::string>& silent, const KeptOperations& kept,
              kernel::Instant now);
 
+  // An account that may have no clients yet; a successor gets what it leaves.
+  void AddAccount(const std::string& name, const ShareAmount& limit) {
+    this->FindOrAdd(name, limit);
+  }
+
   // What to publish for a successor. Not granted from now on, and neither is
   // what was proposed before, until SetPublishedKept tells which one is in
   // force.
--- a/tests/limits/rate_coordinator_test.cpp
+++ b/tests/limits/rate_coordinator_test.cpp
@@ -243,6 +243,7 @@
   CPPUNIT_TEST(KeptOperationsAreNotGranted);
   CPPUNIT_TEST(KeptOperationsOfAnUnconfirmedWriteAreNotGranted);
   CPPUNIT_TEST(SuccessorPassesOnWhatItHasNotUsed);
+  CPPUNIT_TEST(AccountWithoutClientsIsKept);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -477,6 +478,17 @@
     CPPUNIT_ASSERT(coordinator.ProposeKept(At(10)).at("account") == 7);
   }
 
+  // Load pattern: traffic begins, the store fails, and the holder of the duty
+  // is lost. Guards against a successor with nothing for accounts whose clients
+  // came after the last publication.
+  void AccountWithoutClientsIsKept() {
+    RateCoordinator coordinator;
+    coordinator.SetVms({"a"});
+    coordinator.Reset({}, {}, At(-20'000));
+    coordinator.AddAccount("account", {kRate, kBurst});
+    CPPUNIT_ASSERT(coordinator.ProposeKept(At(0)).at("account") > 0);
+  }
+
  private:
   // 45 sessions of an account on 45 of 89 VMs.
   static void SpreadDemand(Fleet& fleet) {
