Bound the accounts that the holder of the duty publishes

Cause: found in the last read of the change: with several thousand accounts the duty's row would be larger than the store takes, and the duty could not be renewed. Accounts with nothing left took room as well.

PublishedAccountsAreBounded failed before (5,000 accounts).

--- a/src/laburnumkeel/limits/rate_coordinator.cpp
+++ b/src/laburnumkeel/limits/rate_coordinator.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace laburnumkeel::limits {
 
@@ -23,6 +24,10 @@
 // which comes early when it does.
 constexpr double kKeptPart = 0.75;
 
+// Bounds the row that is published: with 30 bytes an account this is half of
+// what the store takes in a row.
+constexpr std::size_t kMostKeptAccounts = 1000;
+
 // The coordinator itself uses the remainder, until the next change of it.
 constexpr kernel::Instant kNoExpiry = kernel::Instant::max();
 
@@ -81,6 +86,11 @@
     proposal[name] = static_cast<std::int64_t>(
         std::min(account.remainder.Available(now), most) * kKeptPart);
   }
+  // Accounts at their limit need no room in the published row.
+  std::erase_if(proposal, [](const auto& entry) { return entry.second == 0; });
+  while (proposal.size() > kMostKeptAccounts) {
+    proposal.erase(std::prev(proposal.end()));
+  }
   for (const auto& [name, kept] : proposal) {
     std::int64_t& proposed = this->proposed_kept[name];
     proposed = std::max(proposed, kept);
--- a/tests/limits/rate_coordinator_test.cpp
+++ b/tests/limits/rate_coordinator_test.cpp
@@ -244,6 +244,7 @@
   CPPUNIT_TEST(KeptOperationsOfAnUnconfirmedWriteAreNotGranted);
   CPPUNIT_TEST(SuccessorPassesOnWhatItHasNotUsed);
   CPPUNIT_TEST(AccountWithoutClientsIsKept);
+  CPPUNIT_TEST(PublishedAccountsAreBounded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -489,6 +490,18 @@
     CPPUNIT_ASSERT(coordinator.ProposeKept(At(0)).at("account") > 0);
   }
 
+  // Guards against a row of the duty that is larger than the store takes, so
+  // that the duty could not be renewed.
+  void PublishedAccountsAreBounded() {
+    RateCoordinator coordinator;
+    coordinator.SetVms({"a"});
+    coordinator.Reset({}, {}, At(-20'000));
+    for (int account = 0; account < 5000; ++account) {
+      coordinator.AddAccount(std::to_string(account), {kRate, kBurst});
+    }
+    CPPUNIT_ASSERT(coordinator.ProposeKept(At(0)).size() <= 1000);
+  }
+
  private:
   // 45 sessions of an account on 45 of 89 VMs.
   static void SpreadDemand(Fleet& fleet) {
