--- a/programs/laburnumkeel-proxy/client_session.cpp
+++ b/programs/laburnumkeel-proxy/client_session.cpp
@@ -93,7 +93,7 @@
 void ClientSession::AbortTransaction(const std::string& reason) {
   ProxyContext& context = this->environment.context;
   context.metrics.Count("transactions_aborted");
-  context.request_log.Write(kTransactionAborted, context.clock.Now(),
+  context.request_log.Write(kOpenTransactionEnded, context.clock.Now(),
                             {{"database", this->database},
                              {"account", this->account},
                              {"previous_request", this->statement_id},
--- a/programs/laburnumkeel-proxy/events.h
+++ b/programs/laburnumkeel-proxy/events.h
@@ -74,8 +74,8 @@
 inline constexpr EventDefinition kClientLineRejected{
     6535, Severity::kWarning, "client_line_rejected",
     "a client sent what is no message of the protocol; its session ends"};
-inline constexpr EventDefinition kTransactionAborted{
-    6536, Severity::kInformation, "transaction_aborted",
+inline constexpr EventDefinition kOpenTransactionEnded{
+    6536, Severity::kInformation, "open_transaction_ended",
     "an open transaction was ended; its client learns it with its next "
     "statement"};
 inline constexpr EventDefinition kAnswerLost{
@@ -89,19 +89,32 @@
     "neither the store nor the holder of the duty answers; readiness fails"};
 
 // All events of this program, for the catalogue.
-inline constexpr std::array kEvents{kProxyReady,         kProxyStopping,
-                                    kProxyStopped,       kSettingsReloaded,
-                                    kSettingsInvalid,    kStoreLost,
-                                    kStoreRegained,      kConfigurationInForce,
-                                    kRowIgnored,         kEvacuationChanged,
-                                    kEndpointChanged,    kPrimaryAdopted,
-                                    kDutyTaken,          kDutyLost,
-                                    kChangeStarted,      kChangeStep,
-                                    kChangeEnded,        kStatementRefused,
-                                    kSessionRefused,     kLinesOmitted,
-                                    kDatagramIgnored,    kProxyIsolated,
-                                    kEndpointRefused,    kClientLineRejected,
-                                    kTransactionAborted, kAnswerLost};
+inline constexpr std::array kEvents{kProxyReady,
+                                    kProxyStopping,
+                                    kProxyStopped,
+                                    kSettingsReloaded,
+                                    kSettingsInvalid,
+                                    kStoreLost,
+                                    kStoreRegained,
+                                    kConfigurationInForce,
+                                    kRowIgnored,
+                                    kEvacuationChanged,
+                                    kEndpointChanged,
+                                    kPrimaryAdopted,
+                                    kDutyTaken,
+                                    kDutyLost,
+                                    kChangeStarted,
+                                    kChangeStep,
+                                    kChangeEnded,
+                                    kStatementRefused,
+                                    kSessionRefused,
+                                    kLinesOmitted,
+                                    kDatagramIgnored,
+                                    kProxyIsolated,
+                                    kEndpointRefused,
+                                    kClientLineRejected,
+                                    kOpenTransactionEnded,
+                                    kAnswerLost};
 
 }  // namespace laburnumkeel::proxy
 
