--- a/tests/proxy/service_pool_test.cpp
+++ b/tests/proxy/service_pool_test.cpp
@@ -108,7 +108,9 @@
   // time, within a small part of the time that they have.
   void BusyPrimaryIsAskedMoreAndMoreRarely() {
     this->RefuseAsBusy("WRITE", 1000);
+    const kernel::Instant started = this->context->clock.Now();
     const JobResult result = this->Run(this->Write());
+    CPPUNIT_ASSERT(this->context->clock.Now() >= started + milliseconds(500));
     CPPUNIT_ASSERT(result.reply->error == ErrorCode::kBusy);
     CPPUNIT_ASSERT(this->primary->Count("WRITE 1 data") >= 5);
     CPPUNIT_ASSERT(this->primary->Count("WRITE 1 data") <= 12);
