Do not read a reply that a pool test did not receive

BusyPrimaryIsRetriedWithBackoff failed in 5 of 6 runs after an unrelated field was added to StatementJob. Cause: the delays are drawn at random, and a write that is refused shortly before its deadline fails with BUSY from the pool itself instead of the endpoint's reply. The test then read an empty optional, whose memory happened to hold BUSY until now. Ruled out: load (a printed result shows reply=0, error=BUSY, 850 to 975 ms, 7 to 9 attempts in every failure).

--- a/tests/proxy/service_pool_test.cpp
+++ b/tests/proxy/service_pool_test.cpp
@@ -113,7 +113,7 @@
     const kernel::Instant started = this->context->clock.Now();
     const JobResult result = this->Run(this->Write());
     CPPUNIT_ASSERT(this->context->clock.Now() >= started + milliseconds(500));
-    CPPUNIT_ASSERT(result.reply->error == ErrorCode::kBusy);
+    CPPUNIT_ASSERT(ErrorOf(result) == ErrorCode::kBusy);
     CPPUNIT_ASSERT(this->primary->Count("WRITE 1 data") >= 5);
     CPPUNIT_ASSERT(this->primary->Count("WRITE 1 data") <= 12);
   }
@@ -137,7 +137,7 @@
       return "ERROR FAILED disk\r\nREADY I 1.5\r\n";
     });
     const JobResult result = this->Run(this->Write());
-    CPPUNIT_ASSERT(result.reply->error == ErrorCode::kFailed);
+    CPPUNIT_ASSERT(ErrorOf(result) == ErrorCode::kFailed);
     CPPUNIT_ASSERT_EQUAL(1, this->primary->Count("WRITE"));
   }
 
@@ -364,6 +364,13 @@
         });
   }
 
+  // The error that the client receives, from the endpoint or from the proxy.
+  static ErrorCode ErrorOf(const JobResult& result) {
+    const bool has_succeeded = result.reply && result.reply->signature;
+    CPPUNIT_ASSERT(!has_succeeded);
+    return result.reply ? result.reply->error : result.error;
+  }
+
   void RenewReadLease() {
     this->context->primaries.ConfirmAll(100, this->context->clock.Now());
   }
