End statements to a leaving endpoint before its bound

What callers saw: statements still reached the primary later than drain_timeout_ms after the store had accepted that it was draining (DRAIN), and could meet a database that ends.

Cause: drain_bound was read from the settings and used nowhere. A draining primary stayed in use until a change of primary was published; with the leader cut off, frozen, without power or replaced, that takes 7.9 s. An endpoint whose registration was gone stayed in use as long as the store was not read.

Why it works: every choice of an endpoint passes IsAllowed, which ends at the bound counted from the last view without the departure, less 600 ms for the way. Ruled out: counting from when the VM read of it (2 s late with a lost leader), and a faster change alone (any delay of it would break the bound again).

DrainingPrimaryGetsNothingAfterItsBound and UnregisteredEndpointGetsNothing- AfterItsBound fail with the check taken out.

--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -79,6 +79,9 @@
 // bound: a VM learns of an evacuation within about a second, and a statement
 // that was sent still has to arrive.
 constexpr milliseconds kEvacuationMargin{2000};
+// Statements to a leaving endpoint stop this long before the bound. A statement
+// may wait half a second at a full link before it arrives.
+constexpr milliseconds kDepartureMargin{600};
 
 void StartAttempt(StatementJob& job, double response_ms, Instant now) {
   job.attempt_started = now;
@@ -175,7 +178,8 @@
 
 bool ServicePool::IsAllowed(const StatementJob& job, const Endpoint& endpoint,
                             Instant now) const {
-  if (!this->context.endpoints.contains(endpoint.info.id)) {
+  if (!this->context.endpoints.contains(endpoint.info.id) ||
+      this->IsPastDeparture(endpoint.info.id, now)) {
     return false;
   }
   const auto region =
@@ -198,6 +202,14 @@
          !this->IsPastEvacuationCutoff(endpoint.info.data_centre, now);
 }
 
+bool ServicePool::IsPastDeparture(const std::string& endpoint_id,
+                                  Instant now) const {
+  const auto deadline = this->context.endpoint_departures.Deadline(
+      endpoint_id,
+      {this->context.settings.drain_bound, this->context.settings.settle_time});
+  return deadline && now >= *deadline - kDepartureMargin;
+}
+
 bool ServicePool::IsPastEvacuationCutoff(const std::string& data_centre,
                                          Instant now) const {
   const auto evacuated = this->context.evacuated.find(data_centre);
--- a/programs/laburnumkeel-proxy/service_pool.h
+++ b/programs/laburnumkeel-proxy/service_pool.h
@@ -117,6 +117,10 @@
                                             kernel::Instant now) const;
   bool IsAllowed(const StatementJob& job, const Endpoint& endpoint,
                  kernel::Instant now) const;
+  // True from kDepartureMargin before the bound of the endpoint's departure,
+  // also for a primary that has not been replaced yet.
+  bool IsPastDeparture(const std::string& endpoint_id,
+                       kernel::Instant now) const;
   // True from kEvacuationMargin before the evacuation bound of the data centre,
   // when not even its primaries may receive statements any more.
   bool IsPastEvacuationCutoff(const std::string& data_centre,
--- a/tests/proxy/service_pool_test.cpp
+++ b/tests/proxy/service_pool_test.cpp
@@ -44,6 +44,8 @@
   CPPUNIT_TEST(StatementThatCannotBeServedInTimeIsRefused);
   CPPUNIT_TEST(EvacuatedDataCentreGetsNoReads);
   CPPUNIT_TEST(EvacuatedDataCentreEndsItsTransactions);
+  CPPUNIT_TEST(DrainingPrimaryGetsNothingAfterItsBound);
+  CPPUNIT_TEST(UnregisteredEndpointGetsNothingAfterItsBound);
   CPPUNIT_TEST(AllowedRegionsAreRespected);
   CPPUNIT_TEST_SUITE_END();
 
@@ -321,6 +323,38 @@
     CPPUNIT_ASSERT_EQUAL(before, this->primary->Count("WRITE"));
   }
 
+  // Guards against a primary that stays in use while nobody replaces it.
+  void DrainingPrimaryGetsNothingAfterItsBound() {
+    this->BeginDeparture("p");
+    this->context->endpoints["p"].is_draining = true;
+    this->pool->OnDirectoryChanged();
+    this->context->clock.Advance(milliseconds(6000));
+    CPPUNIT_ASSERT(this->Succeeds(this->Write()));
+    CPPUNIT_ASSERT(this->Succeeds(this->StrictRead()));
+    this->context->clock.Advance(milliseconds(1000));
+    const auto client_statements = [this] {
+      return this->primary->Count("QUERY id") + this->primary->Count("BEGIN");
+    };
+    const int before = client_statements();
+    CPPUNIT_ASSERT(!this->Succeeds(this->Write()));
+    CPPUNIT_ASSERT(!this->Succeeds(this->StrictRead()));
+    CPPUNIT_ASSERT(!this->Succeeds(this->FirstOfTransaction()));
+    this->context->endpoints.erase("r");
+    CPPUNIT_ASSERT(!this->Succeeds(this->Read()));
+    CPPUNIT_ASSERT_EQUAL(before, client_statements());
+  }
+
+  // Guards against an endpoint that stays in use because the store cannot be
+  // read for long enough to remove it.
+  void UnregisteredEndpointGetsNothingAfterItsBound() {
+    this->BeginDeparture("r");
+    this->context->clock.Advance(milliseconds(7000));
+    this->RenewReadLease();
+    this->AddSample();
+    CPPUNIT_ASSERT_EQUAL(std::string("p"), this->Run(this->Read()).endpoint_id);
+    CPPUNIT_ASSERT_EQUAL(0, this->replica->Connections());
+  }
+
   void AllowedRegionsAreRespected() {
     this->RenewReadLease();
     this->AddSample();
@@ -353,6 +387,19 @@
     this->context->endpoints[id] = endpoint;
   }
 
+  // The endpoint was not yet leaving at the current time.
+  void BeginDeparture(const std::string& id) {
+    this->context->endpoint_departures.ConfirmComplete(
+        this->context->clock.Now());
+    this->context->endpoint_departures.Begin(id);
+  }
+
+  bool Succeeds(const JobPointer& job) {
+    this->RenewReadLease();
+    const JobResult result = this->Run(job);
+    return result.reply && result.reply->signature;
+  }
+
   // The primary refuses the first `count` statements that contain `word`.
   void RefuseAsBusy(const std::string& word, int count) {
     this->primary->SetScript(
