Check the endpoint again before an assigned statement is sent

Cause: the endpoint was checked when it was chosen. A statement that then waited for a connection, for the reply to its BEGIN or for its next attempt after BUSY was sent without a further check; a write could also be sent to a primary that had been replaced meanwhile.

Why it works: one predicate, MayReceive, serves the choice and every send; a statement that no longer passes it goes to another endpoint, an open transaction without a statement is rolled back first. Ruled out: moving waiting statements only when the directory changes, since a bound passes without any change. The event of late statements becomes statement_moved.

--- a/programs/laburnumkeel-proxy/events.h
+++ b/programs/laburnumkeel-proxy/events.h
@@ -91,9 +91,10 @@
 inline constexpr EventDefinition kAnswerLost{
     6537, Severity::kWarning, "answer_lost",
     "the connection to an endpoint closed before it answered a statement"};
-inline constexpr EventDefinition kStatementToLeavingEndpoint{
-    6538, Severity::kWarning, "statement_to_leaving_endpoint",
-    "a statement was sent to an endpoint after the bound for its departure"};
+inline constexpr EventDefinition kStatementMoved{
+    6538, Severity::kInformation, "statement_moved",
+    "the endpoint chosen for a statement may no longer receive it; another one "
+    "is chosen"};
 inline constexpr EventDefinition kDatagramIgnored{
     6533, Severity::kWarning, "datagram_ignored",
     "a datagram at the peer address is not a message of this program"};
@@ -102,22 +103,21 @@
     "neither the store nor the leader answers; readiness fails"};
 
 // All events of this program, for the event catalogue.
-inline constexpr std::array kEvents{
-    kProxyReady,         kProxyStopping,
-    kProxyStopped,       kSettingsReloaded,
-    kSettingsInvalid,    kStoreLost,
-    kStoreRegained,      kConfigurationInForce,
-    kRowIgnored,         kEvacuationChanged,
-    kEndpointChanged,    kEndpointLeaving,
-    kHistoryDropped,     kTableReadInFull,
-    kPrimaryAdopted,     kDutyTaken,
-    kDutyLost,           kChangeStarted,
-    kChangeStep,         kChangeEnded,
-    kStatementRefused,   kSessionRefused,
-    kLinesOmitted,       kDatagramIgnored,
-    kProxyIsolated,      kEndpointRefused,
-    kClientLineRejected, kOpenTransactionEnded,
-    kAnswerLost,         kStatementToLeavingEndpoint};
+inline constexpr std::array kEvents{kProxyReady,         kProxyStopping,
+                                    kProxyStopped,       kSettingsReloaded,
+                                    kSettingsInvalid,    kStoreLost,
+                                    kStoreRegained,      kConfigurationInForce,
+                                    kRowIgnored,         kEvacuationChanged,
+                                    kEndpointChanged,    kEndpointLeaving,
+                                    kHistoryDropped,     kTableReadInFull,
+                                    kPrimaryAdopted,     kDutyTaken,
+                                    kDutyLost,           kChangeStarted,
+                                    kChangeStep,         kChangeEnded,
+                                    kStatementRefused,   kSessionRefused,
+                                    kLinesOmitted,       kDatagramIgnored,
+                                    kProxyIsolated,      kEndpointRefused,
+                                    kClientLineRejected, kOpenTransactionEnded,
+                                    kAnswerLost,         kStatementMoved};
 
 }  // namespace laburnumkeel::proxy
 
--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -176,9 +176,13 @@
   return record != nullptr && record->endpoint_id == endpoint_id;
 }
 
-bool ServicePool::IsAllowed(const StatementJob& job, const Endpoint& endpoint,
-                            Instant now) const {
-  if (!this->context.endpoints.contains(endpoint.info.id) ||
+bool ServicePool::MayReceive(const StatementJob& job, const Endpoint& endpoint,
+                             Instant now) const {
+  const bool is_primary = this->IsPrimary(endpoint.info.id);
+  const bool has_role = job.kind == JobKind::kRead
+                            ? is_primary || !endpoint.info.is_draining
+                            : is_primary;
+  if (!has_role || !this->context.endpoints.contains(endpoint.info.id) ||
       this->IsPastDeparture(endpoint.info.id, now)) {
     return false;
   }
@@ -198,7 +202,7 @@
   }
   // The primary stays in use until the bound, so that there is time to replace
   // it.
-  return this->IsPrimary(endpoint.info.id) && job.kind != JobKind::kRead &&
+  return is_primary && job.kind != JobKind::kRead &&
          !this->IsPastEvacuationCutoff(endpoint.info.data_centre, now);
 }
 
@@ -257,17 +261,15 @@
     const bool is_usable =
         primary != this->endpoints.end() &&
         now >= primary->second.suspended_until &&
-        this->IsAllowed(job, primary->second, now) &&
+        this->MayReceive(job, primary->second, now) &&
         this->FreshnessFor(job, record->endpoint_id, now).is_met;
     return is_usable ? std::optional(record->endpoint_id) : std::nullopt;
   }
   std::vector<routing::ReadCandidate> candidates;
   std::vector<std::string> ids;
   for (const auto& [id, endpoint] : this->endpoints) {
-    const bool is_primary = this->IsPrimary(id);
     if (job.excluded_endpoints.contains(id) ||
-        !this->IsAllowed(job, endpoint, now) ||
-        (endpoint.info.is_draining && !is_primary)) {
+        !this->MayReceive(job, endpoint, now)) {
       continue;
     }
     const Freshness freshness = this->FreshnessFor(job, id, now);
@@ -275,7 +277,7 @@
       continue;
     }
     candidates.push_back(
-        {is_primary,
+        {this->IsPrimary(id),
          endpoint.info.data_centre == this->context.settings.data_centre,
          this->IsInOwnRegion(endpoint.info.data_centre),
          now < endpoint.suspended_until,
@@ -550,14 +552,17 @@
     const std::shared_ptr<EndpointConnection>& connection) {
   job->is_waiting_for_connection = false;
   job->connection = connection;
-  if (job->opens_transaction) {
-    this->SendBegin(job);
-    return;
-  }
   if (job->is_internal) {
     this->SendStatement(job, std::nullopt);
     return;
   }
+  if (this->MoveIfUnusable(job)) {
+    return;
+  }
+  if (job->opens_transaction) {
+    this->SendBegin(job);
+    return;
+  }
   const Freshness freshness =
       this->FreshnessFor(*job, job->endpoint_id, this->context.clock.Now());
   if (!freshness.is_met) {
@@ -602,7 +607,27 @@
     return;
   }
   job->connection->is_pinned = true;
-  this->SendStatement(job, std::nullopt);
+  if (!this->MoveIfUnusable(job)) {
+    this->SendStatement(job, std::nullopt);
+  }
+}
+
+bool ServicePool::MoveIfUnusable(const JobPointer& job) {
+  const Instant now = this->context.clock.Now();
+  const Endpoint* endpoint = this->Find(job->endpoint_id);
+  if (endpoint != nullptr && this->MayReceive(*job, *endpoint, now)) {
+    return false;
+  }
+  this->context.metrics.Count("statements_moved");
+  this->context.request_log.Write(
+      kStatementMoved, now,
+      {{"request", job->statement.id},
+       {"service", this->service},
+       {"endpoint", job->endpoint_id},
+       {"chosen_ms_ago", kernel::ToMilliseconds(now - job->chosen_at)},
+       {"opens_transaction", job->opens_transaction}});
+  this->Retry(job, now);
+  return true;
 }
 
 void ServicePool::SendStatement(
@@ -626,7 +651,6 @@
       text, read_after);
   job->is_sent = true;
   ++job->attempts;
-  this->LogIfPastDeparture(*job, now);
   if (!job->opens_transaction) {
     job->attempt_started = now;
     job->had_read_lease =
@@ -639,29 +663,6 @@
                         });
 }
 
-void ServicePool::LogIfPastDeparture(const StatementJob& job, Instant now) {
-  if (job.is_internal || job.is_pinned) {
-    return;
-  }
-  const auto deadline = this->context.endpoint_departures.Deadline(
-      job.endpoint_id,
-      {this->context.settings.drain_bound, this->context.settings.settle_time});
-  if (!deadline || now < *deadline) {
-    return;
-  }
-  this->context.metrics.Count("statements_to_leaving_endpoints");
-  this->context.request_log.Write(
-      kStatementToLeavingEndpoint, now,
-      {{"request", job.statement.id},
-       {"service", this->service},
-       {"endpoint", job.endpoint_id},
-       {"past_bound_ms", kernel::ToMilliseconds(now - *deadline)},
-       {"primary", this->IsPrimary(job.endpoint_id)},
-       {"opens_transaction", job.opens_transaction},
-       {"busy_refusals", job.busy_refusals},
-       {"chosen_ms_ago", kernel::ToMilliseconds(now - job.chosen_at)}});
-}
-
 void ServicePool::RecordReply(const StatementJob& job,
                               const EndpointReply& reply) {
   Endpoint* endpoint = this->Find(job.endpoint_id);
@@ -830,7 +831,9 @@
     StartAttempt(*job, endpoint->response_ms, now);
   }
   if (job->connection->is_pinned) {
-    this->SendStatement(job, std::nullopt);
+    if (job->is_pinned || !this->MoveIfUnusable(job)) {
+      this->SendStatement(job, std::nullopt);
+    }
   } else if (this->ChooseEndpoint(*job, now) == job->endpoint_id) {
     this->Dispatch(job, job->connection);
   } else {
--- a/programs/laburnumkeel-proxy/service_pool.h
+++ b/programs/laburnumkeel-proxy/service_pool.h
@@ -115,8 +115,14 @@
   bool IsUnservable(const StatementJob& job, kernel::Instant now) const;
   std::optional<std::string> ChooseEndpoint(const StatementJob& job,
                                             kernel::Instant now) const;
-  bool IsAllowed(const StatementJob& job, const Endpoint& endpoint,
-                 kernel::Instant now) const;
+  // True when the endpoint may receive the statement, or the first one of a
+  // transaction: it has the required role, is in a permitted region and is not
+  // about to leave.
+  bool MayReceive(const StatementJob& job, const Endpoint& endpoint,
+                  kernel::Instant now) const;
+  // Chooses another endpoint and returns true when the one chosen earlier may
+  // no longer receive the statement.
+  bool MoveIfUnusable(const JobPointer& job);
   // True from kDepartureMargin before the bound of the endpoint's departure,
   // also for a primary that has not been replaced yet.
   bool IsPastDeparture(const std::string& endpoint_id,
@@ -160,9 +166,6 @@
                const std::optional<statements::EndpointReply>& reply);
   void OnReplyLost(const JobPointer& job);
   void OnRefused(const JobPointer& job, const statements::EndpointReply& reply);
-  // Logs a statement that is sent after the bound for its endpoint's departure.
-  // Later statements of a transaction may follow the first one.
-  void LogIfPastDeparture(const StatementJob& job, kernel::Instant now);
   void RecordReply(const StatementJob& job,
                    const statements::EndpointReply& reply);
 
--- a/tests/proxy/service_pool_test.cpp
+++ b/tests/proxy/service_pool_test.cpp
@@ -6,6 +6,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "platform/wire_codec.h"
 #include "programs/laburnumkeel-proxy/proxy_context.h"
@@ -46,6 +48,10 @@
   CPPUNIT_TEST(EvacuatedDataCentreEndsItsTransactions);
   CPPUNIT_TEST(DrainingPrimaryGetsNothingAfterItsBound);
   CPPUNIT_TEST(UnregisteredEndpointGetsNothingAfterItsBound);
+  CPPUNIT_TEST(WaitingStatementIsNotSentAfterTheBound);
+  CPPUNIT_TEST(WaitingWriteIsNotSentToAFormerPrimary);
+  CPPUNIT_TEST(BegunTransactionIsNotUsedAfterTheBound);
+  CPPUNIT_TEST(RefusedFirstStatementIsNotSentAgainAfterTheBound);
   CPPUNIT_TEST(AllowedRegionsAreRespected);
   CPPUNIT_TEST_SUITE_END();
 
@@ -355,6 +361,69 @@
     CPPUNIT_ASSERT_EQUAL(0, this->replica->Connections());
   }
 
+  // Guards against a choice that no longer holds when a connection is free.
+  void WaitingStatementIsNotSentAfterTheBound() {
+    this->BeginDeparture("r");
+    this->context->clock.Advance(milliseconds(6300));
+    this->RenewReadLease();
+    this->AddSample();
+    const JobPointer read = this->Read();
+    this->Submit(read);
+    CPPUNIT_ASSERT_EQUAL(std::string("r"), read->endpoint_id);
+    this->context->clock.Advance(milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(std::string("p"),
+                         this->RunUntilFinished(read).endpoint_id);
+    CPPUNIT_ASSERT_EQUAL(0, this->replica->Count("READ"));
+  }
+
+  void WaitingWriteIsNotSentToAFormerPrimary() {
+    const JobPointer write = this->Write();
+    this->Submit(write);
+    CPPUNIT_ASSERT_EQUAL(std::string("p"), write->endpoint_id);
+    this->context->primaries.Adopt({"s", "r", 2, false, 3});
+    this->pool->OnDirectoryChanged();
+    CPPUNIT_ASSERT_EQUAL(std::string("r"),
+                         this->RunUntilFinished(write).endpoint_id);
+    CPPUNIT_ASSERT_EQUAL(0, this->primary->Count("WRITE"));
+  }
+
+  // Guards against the first statement of a transaction whose BEGIN was
+  // answered late.
+  void BegunTransactionIsNotUsedAfterTheBound() {
+    this->BeginDeparture("p");
+    this->context->clock.Advance(milliseconds(6300));
+    this->primary->SetScript([this](std::string_view line) {
+      if (line.find("BEGIN") != std::string_view::npos) {
+        this->context->clock.Advance(milliseconds(200));
+      }
+      return this->primary->Succeed(line);
+    });
+    CPPUNIT_ASSERT(!this->Succeeds(this->FirstOfTransaction()));
+    CPPUNIT_ASSERT_EQUAL(1, this->primary->Count("BEGIN"));
+    CPPUNIT_ASSERT_EQUAL(1, this->primary->Count("ROLLBACK"));
+    CPPUNIT_ASSERT_EQUAL(0, this->primary->Count("READ 1"));
+  }
+
+  // Guards against a transaction that is held open for its first statement
+  // until a busy endpoint has left.
+  void RefusedFirstStatementIsNotSentAgainAfterTheBound() {
+    this->BeginDeparture("p");
+    this->context->clock.Advance(milliseconds(6300));
+    const kernel::Instant cutoff =
+        this->context->clock.Now() + milliseconds(100);
+    std::vector<kernel::Instant> sent;
+    this->primary->SetScript([&](std::string_view line) -> std::string {
+      if (line.find("READ 1") == std::string_view::npos) {
+        return this->primary->Succeed(line);
+      }
+      sent.push_back(this->context->clock.Now());
+      return this->primary->Refuse("BUSY full");
+    });
+    CPPUNIT_ASSERT(!this->Succeeds(this->FirstOfTransaction()));
+    CPPUNIT_ASSERT(!sent.empty());
+    CPPUNIT_ASSERT(sent.back() < cutoff);
+  }
+
   void AllowedRegionsAreRespected() {
     this->RenewReadLease();
     this->AddSample();
