Count the evacuation bound from the last view without the evacuation

Cause, same class: the bound counted from when this VM read of the evacuation, with 2 s for the delay, which a lost leader or a restart exceeds; and a statement of an open transaction that the endpoint refused as BUSY was sent again without the check that its first attempt passed.

Change: evacuations are kept in a DepartureTable like endpoints, both tables of the store confirm it in the same way, and ContinueTransaction checks the bound at each attempt. Ruled out: a larger margin, which costs writes on every evacuation and still bounds no delay.

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -318,7 +318,7 @@
   const auto endpoint = this->context.endpoints.find(endpoint_id);
   return endpoint != this->context.endpoints.end() &&
          !endpoint->second.is_draining &&
-         !this->context.evacuated.contains(endpoint->second.data_centre);
+         !this->context.evacuations.Contains(endpoint->second.data_centre);
 }
 
 void FailoverManager::StartChangeIfNeeded(const std::string& service,
--- a/programs/laburnumkeel-proxy/proxy_context.h
+++ b/programs/laburnumkeel-proxy/proxy_context.h
@@ -35,8 +35,8 @@
   std::map<std::string, model::DatabaseEndpoint> endpoints;
   // Endpoints that are draining or whose registration is gone, by id.
   routing::DepartureTable endpoint_departures;
-  // Evacuated data centres, and when this VM read of the evacuation.
-  std::map<std::string, kernel::Instant> evacuated;
+  // Evacuated data centres, by name.
+  routing::DepartureTable evacuations;
   routing::PrimaryTable primaries;
   // Number of VMs that share the rate limits and the endpoints' connections.
   int vm_count = 1;
--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -75,12 +75,9 @@
 // of another account arrived earlier by more than this. Well below the latency
 // objectives of the routes.
 constexpr milliseconds kOtherAccountDelay{120};
-// Statements to an evacuated data centre stop this long before the evacuation
-// bound: a VM learns of an evacuation within about a second, and a statement
-// that was sent still has to arrive.
-constexpr milliseconds kEvacuationMargin{2000};
-// Statements to a leaving endpoint stop this long before the bound. A statement
-// may wait half a second at a full link before it arrives.
+// Statements to a leaving endpoint or an evacuated data centre stop this long
+// before the bound. A statement may wait half a second at a full link before it
+// arrives.
 constexpr milliseconds kDepartureMargin{600};
 
 void StartAttempt(StatementJob& job, double response_ms, Instant now) {
@@ -129,20 +126,31 @@
   if (Endpoint* owner = this->Find(connection->EndpointId())) {
     job->endpoint_id = connection->EndpointId();
     ++owner->outstanding;
-    if (this->IsPastEvacuationCutoff(owner->info.data_centre, job->arrived)) {
-      this->Discard(connection);
-    }
   }
   if (job->endpoint_id.empty() || !connection->IsOpen() ||
       connection->IsBusy()) {
-    job->connection = nullptr;
-    this->Discard(connection);
-    this->Fail(job, ErrorCode::kAborted, "the transaction's connection ended");
+    this->AbortPinned(job, "the transaction's connection ended");
+    return;
+  }
+  this->ContinueTransaction(job);
+}
+
+void ServicePool::ContinueTransaction(const JobPointer& job) {
+  const Endpoint* owner = this->Find(job->endpoint_id);
+  if (owner != nullptr && this->IsPastEvacuation(owner->info.data_centre,
+                                                 this->context.clock.Now())) {
+    this->AbortPinned(job, "the data centre is evacuated");
     return;
   }
   this->SendStatement(job, std::nullopt);
 }
 
+void ServicePool::AbortPinned(const JobPointer& job,
+                              const std::string& reason) {
+  this->Discard(std::exchange(job->connection, nullptr));
+  this->Fail(job, ErrorCode::kAborted, reason);
+}
+
 void ServicePool::RunInternal(
     const std::string& endpoint_id, const std::string& text,
     milliseconds timeout,
@@ -197,29 +205,33 @@
       !is_region_allowed(job.account_regions)) {
     return false;
   }
-  if (!this->context.evacuated.contains(endpoint.info.data_centre)) {
+  if (!this->context.evacuations.Contains(endpoint.info.data_centre)) {
     return true;
   }
   // The primary stays in use until the bound, so that there is time to replace
   // it.
   return is_primary && job.kind != JobKind::kRead &&
-         !this->IsPastEvacuationCutoff(endpoint.info.data_centre, now);
+         !this->IsPastEvacuation(endpoint.info.data_centre, now);
+}
+
+bool ServicePool::IsPast(const routing::DepartureTable& departures,
+                         const std::string& name, milliseconds bound,
+                         Instant now) const {
+  const auto deadline =
+      departures.Deadline(name, {bound, this->context.settings.settle_time});
+  return deadline && now >= *deadline - kDepartureMargin;
 }
 
 bool ServicePool::IsPastDeparture(const std::string& endpoint_id,
                                   Instant now) const {
-  const auto deadline = this->context.endpoint_departures.Deadline(
-      endpoint_id,
-      {this->context.settings.drain_bound, this->context.settings.settle_time});
-  return deadline && now >= *deadline - kDepartureMargin;
+  return this->IsPast(this->context.endpoint_departures, endpoint_id,
+                      this->context.settings.drain_bound, now);
 }
 
-bool ServicePool::IsPastEvacuationCutoff(const std::string& data_centre,
-                                         Instant now) const {
-  const auto evacuated = this->context.evacuated.find(data_centre);
-  return evacuated != this->context.evacuated.end() &&
-         now >= evacuated->second + this->context.settings.evacuation_bound -
-                    kEvacuationMargin;
+bool ServicePool::IsPastEvacuation(const std::string& data_centre,
+                                   Instant now) const {
+  return this->IsPast(this->context.evacuations, data_centre,
+                      this->context.settings.evacuation_bound, now);
 }
 
 ServicePool::Freshness ServicePool::FreshnessFor(const StatementJob& job,
@@ -830,8 +842,10 @@
   if (const Endpoint* endpoint = this->Find(job->endpoint_id)) {
     StartAttempt(*job, endpoint->response_ms, now);
   }
-  if (job->connection->is_pinned) {
-    if (job->is_pinned || !this->MoveIfUnusable(job)) {
+  if (job->is_pinned) {
+    this->ContinueTransaction(job);
+  } else if (job->connection->is_pinned) {
+    if (!this->MoveIfUnusable(job)) {
       this->SendStatement(job, std::nullopt);
     }
   } else if (this->ChooseEndpoint(*job, now) == job->endpoint_id) {
--- a/programs/laburnumkeel-proxy/service_pool.h
+++ b/programs/laburnumkeel-proxy/service_pool.h
@@ -123,14 +123,15 @@
   // Chooses another endpoint and returns true when the one chosen earlier may
   // no longer receive the statement.
   bool MoveIfUnusable(const JobPointer& job);
-  // True from kDepartureMargin before the bound of the endpoint's departure,
-  // also for a primary that has not been replaced yet.
+  // True from kDepartureMargin before the bound of the departure, when not even
+  // a primary that has not been replaced yet may receive statements.
+  bool IsPast(const routing::DepartureTable& departures,
+              const std::string& name, std::chrono::milliseconds bound,
+              kernel::Instant now) const;
   bool IsPastDeparture(const std::string& endpoint_id,
                        kernel::Instant now) const;
-  // True from kEvacuationMargin before the evacuation bound of the data centre,
-  // when not even its primaries may receive statements any more.
-  bool IsPastEvacuationCutoff(const std::string& data_centre,
-                              kernel::Instant now) const;
+  bool IsPastEvacuation(const std::string& data_centre,
+                        kernel::Instant now) const;
   bool IsPrimary(const std::string& endpoint_id) const;
   bool IsInOwnRegion(const std::string& data_centre) const;
   // Number of connections to one endpoint that may be kept open while idle.
@@ -175,6 +176,11 @@
   // Returns false when the statement's deadline leaves no time for it.
   bool ScheduleResend(const JobPointer& job, kernel::Instant now);
   void Resend(const JobPointer& job, kernel::Instant now);
+  // Sends a statement of an open transaction, unless its data centre had to be
+  // left meanwhile.
+  void ContinueTransaction(const JobPointer& job);
+  // Closes the transaction's connection, so that the endpoint rolls it back.
+  void AbortPinned(const JobPointer& job, const std::string& reason);
   // Releases the endpoint and chooses one again at `retry_at`.
   void Retry(const JobPointer& job, kernel::Instant retry_at);
   void LeaveEndpoint(const JobPointer& job, bool keep_connection);
--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -62,11 +62,14 @@
   this->endpoint_rows.min_read_interval = kEndpointReadInterval;
   this->endpoint_rows.leader_poll_interval = kLeaderEndpointPollInterval;
   this->endpoint_rows.leader_wait = milliseconds(0);
-  // Departures before the start of this program are unknown so far.
-  context.endpoint_departures.OnStoreFailure(context.clock.Now());
+  this->operator_rows.departures = &context.evacuations;
+  this->operator_rows.answer_delay = kCallTimeout;
+  this->endpoint_rows.departures = &context.endpoint_departures;
   for (TableReader* reader : {&this->operator_rows, &this->endpoint_rows}) {
     reader->channel = std::make_unique<transport::HttpChannel>(
         context.loop, context.settings.store_address);
+    // Departures before the start of this program are unknown so far.
+    reader->departures->OnStoreFailure(context.clock.Now());
   }
 }
 
@@ -99,15 +102,19 @@
         std::max(reader.peer_state.version, peer_state.version);
     reader.peer_state.read_at =
         std::max(reader.peer_state.read_at, peer_state.read_at);
+    ConfirmDepartures(reader, peer_state);
     if (this->IsDue(reader, now)) {
       this->ReadTable(reader, now);
     }
   };
   merge(this->operator_rows, operator_state);
   merge(this->endpoint_rows, endpoint_state);
-  if (this->endpoint_rows.is_loaded &&
-      endpoint_state.version <= this->endpoint_rows.version) {
-    this->context.endpoint_departures.ConfirmComplete(endpoint_state.read_at);
+}
+
+void StoreLink::ConfirmDepartures(const TableReader& reader,
+                                  const TableState& reading) {
+  if (reader.is_loaded && reading.version <= reader.version) {
+    reader.departures->ConfirmComplete(reading.read_at - reader.answer_delay);
   }
 }
 
@@ -183,9 +190,7 @@
       LogEvent(kStoreLost,
                {{"table", reader.table}, {"status", answer.status}});
     }
-    if (&reader == &this->endpoint_rows) {
-      this->context.endpoint_departures.OnStoreFailure(reader.called_at);
-    }
+    reader.departures->OnStoreFailure(reader.called_at);
     reader.retry_at = this->context.clock.Now() + kRetryDelay;
     return;
   }
@@ -228,9 +233,7 @@
   // Without a wait the answer may be as old as the call.
   reader.state.read_at =
       reader.wait == milliseconds(0) ? reader.called_at : now;
-  if (&reader == &this->endpoint_rows) {
-    this->context.endpoint_departures.ConfirmComplete(reader.called_at);
-  }
+  ConfirmDepartures(reader, reader.state);
   if (!this->is_leader) {
     reader.retry_at = now + reader.min_read_interval;
   }
@@ -253,11 +256,9 @@
   }
   const std::string data_centre =
       row.key.substr(platform_adapter::kEvacuationPrefix.size());
-  const bool has_changed =
-      row.is_removed ? this->context.evacuated.erase(data_centre) > 0
-                     : this->context.evacuated
-                           .try_emplace(data_centre, this->context.clock.Now())
-                           .second;
+  const bool has_changed = row.is_removed
+                               ? this->context.evacuations.End(data_centre)
+                               : this->context.evacuations.Begin(data_centre);
   if (has_changed) {
     LogEvent(kEvacuationChanged, {{"data_centre", data_centre},
                                   {"evacuated", !row.is_removed},
@@ -348,10 +349,12 @@
     }
     return;
   }
-  std::erase_if(this->context.evacuated, [&](const auto& entry) {
-    return !is_present(std::string(platform_adapter::kEvacuationPrefix) +
-                       entry.first);
-  });
+  for (const std::string& data_centre : this->context.evacuations.Names()) {
+    if (!is_present(std::string(platform_adapter::kEvacuationPrefix) +
+                    data_centre)) {
+      this->context.evacuations.End(data_centre);
+    }
+  }
 }
 
 bool StoreLink::RemoveExpiredEndpoints() {
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -116,6 +116,10 @@
     kernel::Instant retry_at;
     kernel::Instant called_at;
     std::chrono::milliseconds wait{0};
+    // How much older than `read_at` an answer may be that the store held open.
+    std::chrono::milliseconds answer_delay{0};
+    // The departures that the table announces.
+    routing::DepartureTable* departures = nullptr;
     TableState state;
     TableState peer_state;
     bool is_loaded = false;
@@ -134,6 +138,10 @@
   bool IsDue(const TableReader& reader, kernel::Instant now) const;
   void ReadTable(TableReader& reader, kernel::Instant now);
   void OnTableRead(TableReader& reader, const transport::HttpAnswer& answer);
+  // Records that the departures are complete as of the reading of a table, by
+  // this or another VM.
+  static void ConfirmDepartures(const TableReader& reader,
+                                const TableState& reading);
   bool Apply(TableReader& reader, const platform_adapter::StoreRow& row);
   // Each returns true when the row changed the context.
   bool ApplyOperatorRow(const platform_adapter::StoreRow& row);
--- a/src/laburnumkeel/routing/departure_table.cpp
+++ b/src/laburnumkeel/routing/departure_table.cpp
@@ -24,6 +24,14 @@
   return this->departures.erase(name) > 0;
 }
 
+std::vector<std::string> DepartureTable::Names() const {
+  std::vector<std::string> names;
+  for (const auto& [name, departure] : this->departures) {
+    names.push_back(name);
+  }
+  return names;
+}
+
 std::optional<Instant> DepartureTable::Deadline(
     const std::string& name, const DepartureBounds& bounds) const {
   const auto found = this->departures.find(name);
--- a/src/laburnumkeel/routing/departure_table.h
+++ b/src/laburnumkeel/routing/departure_table.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "laburnumkeel/kernel/clock.h"
 
@@ -44,6 +45,9 @@
     return this->departures.contains(name);
   }
 
+  // Everything that is leaving.
+  std::vector<std::string> Names() const;
+
   // When the last statement has to arrive; empty unless `name` is leaving.
   std::optional<kernel::Instant> Deadline(const std::string& name,
                                           const DepartureBounds& bounds) const;
--- a/tests/proxy/service_pool_test.cpp
+++ b/tests/proxy/service_pool_test.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(StatementThatCannotBeServedInTimeIsRefused);
   CPPUNIT_TEST(EvacuatedDataCentreGetsNoReads);
   CPPUNIT_TEST(EvacuatedDataCentreEndsItsTransactions);
+  CPPUNIT_TEST(RefusedStatementOfATransactionIsNotSentAgainAfterTheEvacuation);
   CPPUNIT_TEST(DrainingPrimaryGetsNothingAfterItsBound);
   CPPUNIT_TEST(UnregisteredEndpointGetsNothingAfterItsBound);
   CPPUNIT_TEST(WaitingStatementIsNotSentAfterTheBound);
@@ -305,13 +306,16 @@
   void EvacuatedDataCentreGetsNoReads() {
     this->RenewReadLease();
     this->AddSample();
-    this->context->evacuated["near"] = this->context->clock.Now();
+    this->context->evacuations.ConfirmComplete(this->context->clock.Now());
+    this->context->evacuations.Begin("near");
     this->Run(this->Read());
     CPPUNIT_ASSERT_EQUAL(0, this->replica->Connections());
-    // The primary stays in use until shortly before the evacuation bound.
-    this->context->evacuated["far"] = this->context->clock.Now();
+    // The primary stays in use until shortly before the evacuation bound, which
+    // this VM learns of 2 s late.
+    this->context->clock.Advance(milliseconds(2000));
+    this->context->evacuations.Begin("far");
     CPPUNIT_ASSERT(this->Run(this->Write()).reply.has_value());
-    this->context->clock.Advance(milliseconds(3001));
+    this->context->clock.Advance(milliseconds(2400));
     this->RenewReadLease();
     CPPUNIT_ASSERT(this->Run(this->Write()).error == ErrorCode::kBusy);
   }
@@ -321,14 +325,31 @@
   void EvacuatedDataCentreEndsItsTransactions() {
     this->RenewReadLease();
     const JobResult begun = this->Run(this->FirstOfTransaction());
-    this->context->evacuated["far"] = this->context->clock.Now();
-    this->context->clock.Advance(milliseconds(3001));
+    this->context->evacuations.ConfirmComplete(this->context->clock.Now());
+    this->context->evacuations.Begin("far");
+    this->context->clock.Advance(milliseconds(4400));
     const int before = this->primary->Count("WRITE");
     const JobResult ended = this->RunPinned(this->Write(), begun.connection);
     CPPUNIT_ASSERT(!ended.reply && ended.error == ErrorCode::kAborted);
     CPPUNIT_ASSERT_EQUAL(before, this->primary->Count("WRITE"));
   }
 
+  void RefusedStatementOfATransactionIsNotSentAgainAfterTheEvacuation() {
+    this->RenewReadLease();
+    const JobResult begun = this->Run(this->FirstOfTransaction());
+    this->context->evacuations.ConfirmComplete(this->context->clock.Now());
+    this->context->evacuations.Begin("far");
+    const kernel::Instant bound =
+        this->context->clock.Now() + milliseconds(5000);
+    this->context->clock.Advance(milliseconds(4300));
+    std::vector<kernel::Instant> sent;
+    this->RefuseAsBusy("WRITE 1 data", &sent);
+    const JobResult result = this->RunPinned(this->Write(), begun.connection);
+    CPPUNIT_ASSERT(ErrorOf(result) == ErrorCode::kAborted);
+    CPPUNIT_ASSERT(!sent.empty());
+    CPPUNIT_ASSERT(sent.back() < bound - milliseconds(600));
+  }
+
   // Guards against a primary that stays in use while nobody replaces it.
   void DrainingPrimaryGetsNothingAfterItsBound() {
     this->BeginDeparture("p");
@@ -412,13 +433,7 @@
     const kernel::Instant cutoff =
         this->context->clock.Now() + milliseconds(100);
     std::vector<kernel::Instant> sent;
-    this->primary->SetScript([&](std::string_view line) -> std::string {
-      if (line.find("READ 1") == std::string_view::npos) {
-        return this->primary->Succeed(line);
-      }
-      sent.push_back(this->context->clock.Now());
-      return this->primary->Refuse("BUSY full");
-    });
+    this->RefuseAsBusy("READ 1", &sent);
     CPPUNIT_ASSERT(!this->Succeeds(this->FirstOfTransaction()));
     CPPUNIT_ASSERT(!sent.empty());
     CPPUNIT_ASSERT(sent.back() < cutoff);
@@ -480,6 +495,20 @@
         });
   }
 
+  // The primary refuses every statement that contains `word`; `sent` receives
+  // the times at which they arrive.
+  void RefuseAsBusy(const std::string& word,
+                    std::vector<kernel::Instant>* sent) {
+    this->primary->SetScript(
+        [this, word, sent](std::string_view line) -> std::string {
+          if (line.find(word) == std::string_view::npos) {
+            return this->primary->Succeed(line);
+          }
+          sent->push_back(this->context->clock.Now());
+          return this->primary->Refuse("BUSY full");
+        });
+  }
+
   // The error that the client receives, from the endpoint or from the proxy.
   static ErrorCode ErrorOf(const JobResult& result) {
     const bool has_succeeded = result.reply && result.reply->signature;
