Report rows that a full read finds missing to the other VMs

Cause: the other VMs read a table when the leader reports a newer version of it. After the store had dropped its history the leader read the table in full, ended what was missing for itself, and reported the old version with a fresh reading time. Evacuations that vanished also left no log line.

Why this fix works: a row that is missing counts as a change, with the version of the full read, so observers are called and other VMs read. Ruled out: reading in full on all VMs after a drop (a read of each table a VM), since most drops change nothing.

--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -219,7 +219,12 @@
     return;
   }
   if (!reader.is_loaded) {
-    this->ExpireMissingRows(reader);
+    if (this->ExpireMissingRows(reader)) {
+      // Other VMs read the table when its reported version grows.
+      has_changed = true;
+      reader.state.version =
+          std::max(reader.state.version, rows->store_version);
+    }
     LogEvent(kTableReadInFull, {{"table", reader.table},
                                 {"rows", reader.loaded_keys.size()},
                                 {"known_version", reader.version},
@@ -260,13 +265,18 @@
                                ? this->context.evacuations.End(data_centre)
                                : this->context.evacuations.Begin(data_centre);
   if (has_changed) {
-    LogEvent(kEvacuationChanged, {{"data_centre", data_centre},
-                                  {"evacuated", !row.is_removed},
-                                  {"row_version", row.version}});
+    LogEvacuation(data_centre, !row.is_removed, row.version);
   }
   return has_changed;
 }
 
+void StoreLink::LogEvacuation(const std::string& data_centre, bool is_evacuated,
+                              std::uint64_t version) {
+  LogEvent(kEvacuationChanged, {{"data_centre", data_centre},
+                                {"evacuated", is_evacuated},
+                                {"row_version", version}});
+}
+
 bool StoreLink::ApplyConfiguration(const StoreRow& row) {
   if (row.is_removed) {
     return false;
@@ -336,25 +346,27 @@
   }
 }
 
-void StoreLink::ExpireMissingRows(const TableReader& reader) {
+bool StoreLink::ExpireMissingRows(const TableReader& reader) {
   const auto is_present = [&](const std::string& key) {
     return std::find(reader.loaded_keys.begin(), reader.loaded_keys.end(),
                      key) != reader.loaded_keys.end();
   };
+  bool has_changed = false;
   if (&reader == &this->endpoint_rows) {
     for (const auto& [id, endpoint] : this->context.endpoints) {
-      if (!is_present(id)) {
-        this->ExpireEndpoint(id);
-      }
+      has_changed |= !is_present(id) && this->ExpireEndpoint(id);
     }
-    return;
+    return has_changed;
   }
   for (const std::string& data_centre : this->context.evacuations.Names()) {
     if (!is_present(std::string(platform_adapter::kEvacuationPrefix) +
                     data_centre)) {
       this->context.evacuations.End(data_centre);
+      LogEvacuation(data_centre, false, reader.version);
+      has_changed = true;
     }
   }
+  return has_changed;
 }
 
 bool StoreLink::RemoveExpiredEndpoints() {
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -151,8 +151,11 @@
   // Returns false when that is known already.
   bool ExpireEndpoint(const std::string& id);
   void BeginDeparture(const std::string& id, std::string_view state);
-  // Handles rows that a full read of the table did not return.
-  void ExpireMissingRows(const TableReader& reader);
+  // Handles rows that a full read of the table did not return. Returns true
+  // when this VM knew one of them.
+  bool ExpireMissingRows(const TableReader& reader);
+  static void LogEvacuation(const std::string& data_centre, bool is_evacuated,
+                            std::uint64_t version);
   bool RemoveExpiredEndpoints();
 
   bool IsFleetDue(kernel::Instant now) const;
--- /dev/null
+++ b/tests/proxy/store_link_test.cpp
@@ -0,0 +1,175 @@
+#include "programs/laburnumkeel-proxy/store_link.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+#include "programs/laburnumkeel-proxy/proxy_context.h"
+#include "tests/support/fake_store.h"
+
+namespace laburnumkeel::proxy {
+namespace {
+
+using kernel::Instant;
+using std::chrono::milliseconds;
+using testing::FakeStore;
+
+// The store on a loopback connection, and a paused clock.
+class StoreLinkTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoreLinkTest);
+  CPPUNIT_TEST(DepartureIsCountedFromTheLastReadWithoutIt);
+  CPPUNIT_TEST(DepartureIsCountedFromTheLeadersReadWithoutIt);
+  CPPUNIT_TEST(LeadersReadOfANewerTableDoesNotCount);
+  CPPUNIT_TEST(DepartureMissedWhileTheStoreRefusesGetsTheSettleTime);
+  CPPUNIT_TEST(ReturnedEndpointIsNoLongerLeaving);
+  CPPUNIT_TEST(RowMissingAfterDroppedHistoryIsReportedToOtherVms);
+  CPPUNIT_TEST(EvacuationMissingAfterDroppedHistoryEnds);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    this->context =
+        std::make_unique<ProxyContext>(platform_adapter::ProxySettings());
+    this->store = std::make_unique<FakeStore>(this->context->loop);
+    this->context->settings.store_address = this->store->Address();
+    this->context->clock.Pause();
+    this->link = std::make_unique<StoreLink>(
+        *this->context, StoreLink::Observers{[this] { ++this->changes; },
+                                             [](const auto*, auto, auto) {}});
+    this->PutEndpoint("a", "ready");
+    this->PutEndpoint("b", "ready");
+    this->Read();
+  }
+
+  void tearDown() override {
+    this->link.reset();
+    this->store.reset();
+    this->context.reset();
+  }
+
+  void DepartureIsCountedFromTheLastReadWithoutIt() {
+    const Instant read = this->Now();
+    this->PutEndpoint("a", "draining");
+    this->ReadLater();
+    CPPUNIT_ASSERT(this->Deadline("a") == read + kDrainBound);
+    CPPUNIT_ASSERT(!this->Deadline("b").has_value());
+  }
+
+  void DepartureIsCountedFromTheLeadersReadWithoutIt() {
+    this->context->clock.Advance(milliseconds(1500));
+    const Instant read = this->Now();
+    this->link->OnPeerTableState({0, read}, {1, read});
+    this->PutEndpoint("a", "draining");
+    this->ReadLater();
+    CPPUNIT_ASSERT(this->Deadline("a") == read + kDrainBound);
+  }
+
+  // Guards against trusting a reading that contains a departure which this VM
+  // has not read yet.
+  void LeadersReadOfANewerTableDoesNotCount() {
+    const Instant read = this->Now();
+    this->PutEndpoint("a", "draining");
+    this->context->clock.Advance(milliseconds(500));
+    this->link->OnPeerTableState({0, this->Now()}, {3, this->Now()});
+    this->ReadLater();
+    CPPUNIT_ASSERT(this->Deadline("a") == read + kDrainBound);
+  }
+
+  void DepartureMissedWhileTheStoreRefusesGetsTheSettleTime() {
+    this->PutEndpoint("a", "draining");
+    this->store->Refuse(503);
+    this->context->clock.Advance(milliseconds(9000));
+    const Instant refused = this->Now();
+    this->Read();
+    this->store->Refuse(std::nullopt);
+    this->ReadLater();
+    CPPUNIT_ASSERT(this->Deadline("a") == refused + kSettleTime);
+  }
+
+  void ReturnedEndpointIsNoLongerLeaving() {
+    this->store->Remove("servers", "a");
+    this->ReadLater();
+    CPPUNIT_ASSERT(this->Deadline("a").has_value());
+    this->PutEndpoint("a", "ready");
+    this->ReadLater();
+    CPPUNIT_ASSERT(!this->Deadline("a").has_value());
+  }
+
+  // Guards against a departure that only the leader learns of: other VMs read
+  // the table when the leader reports a newer version.
+  void RowMissingAfterDroppedHistoryIsReportedToOtherVms() {
+    const std::uint64_t version = this->link->EndpointRows().version;
+    const int changes_before = this->changes;
+    this->store->Remove("servers", "a");
+    this->store->DropHistory();
+    this->ReadLater();
+    CPPUNIT_ASSERT(this->Deadline("a").has_value());
+    CPPUNIT_ASSERT(this->link->EndpointRows().version > version);
+    CPPUNIT_ASSERT(this->changes > changes_before);
+  }
+
+  void EvacuationMissingAfterDroppedHistoryEnds() {
+    this->store->Put("op", "evacuate/dc", 1);
+    this->ReadLater();
+    CPPUNIT_ASSERT(this->context->evacuations.Contains("dc"));
+    const std::uint64_t version = this->link->OperatorRows().version;
+    const int changes_before = this->changes;
+    this->store->Remove("op", "evacuate/dc");
+    this->store->DropHistory();
+    this->ReadLater();
+    CPPUNIT_ASSERT(!this->context->evacuations.Contains("dc"));
+    CPPUNIT_ASSERT(this->link->OperatorRows().version > version);
+    CPPUNIT_ASSERT(this->changes > changes_before);
+  }
+
+ private:
+  // Longer than the time after which a VM reads the tables again.
+  static constexpr milliseconds kReadInterval{2500};
+  static constexpr milliseconds kDrainBound{7000};
+  static constexpr milliseconds kSettleTime{4000};
+
+  void PutEndpoint(const std::string& id, const std::string& state) {
+    this->store->Put("servers", id,
+                     {{"service", "s"},
+                      {"address", "127.0.0.1:1"},
+                      {"zone", "dc"},
+                      {"state", state},
+                      {"database_role", "replica"}});
+  }
+
+  Instant Now() const { return this->context->clock.Now(); }
+
+  std::optional<Instant> Deadline(const std::string& id) const {
+    return this->context->endpoint_departures.Deadline(
+        id, {kDrainBound, kSettleTime});
+  }
+
+  // Lets time pass until both tables are due, and reads them.
+  void ReadLater() {
+    this->context->clock.Advance(kReadInterval);
+    this->Read();
+  }
+
+  void Read() {
+    this->link->Tick(this->Now(), true);
+    constexpr int kRounds = 6;
+    for (int round = 0; round < kRounds; ++round) {
+      this->context->loop.restart();
+      this->context->loop.run_for(milliseconds(2));
+    }
+  }
+
+  std::unique_ptr<ProxyContext> context;
+  std::unique_ptr<FakeStore> store;
+  std::unique_ptr<StoreLink> link;
+  int changes = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreLinkTest);
+
+}  // namespace
+}  // namespace laburnumkeel::proxy
--- /dev/null
+++ b/tests/support/fake_store.h
@@ -0,0 +1,136 @@
+#ifndef LABURNUMKEEL_TESTS_SUPPORT_FAKE_STORE_H_
+#define LABURNUMKEEL_TESTS_SUPPORT_FAKE_STORE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/detail/base64.hpp>
+#include <cstdint>
+#include <cstdlib>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "laburnumkeel/transport/http_responder.h"
+#include "tests/support/free_port.h"
+
+namespace laburnumkeel::testing {
+
+// The reading calls of the platform's store, on an event loop. Calls that wait
+// for changes are answered at once.
+class FakeStore {
+ public:
+  explicit FakeStore(boost::asio::io_context& loop)
+      : address(FreeAddress()),
+        responder(loop, [this](const std::string& target) {
+          ++this->calls[TableOf(target)];
+          return this->Respond(target);
+        }) {
+    this->responder.Listen(this->address);
+  }
+
+  const std::string& Address() const { return this->address; }
+
+  void Put(const std::string& table, const std::string& key,
+           const nlohmann::json& value) {
+    this->rows[table][key] = {value.dump(), ++this->version, false};
+  }
+
+  void Remove(const std::string& table, const std::string& key) {
+    this->rows[table][key] = {"", ++this->version, true};
+  }
+
+  // The changes so far can no longer be read one by one.
+  void DropHistory() { this->history_from = ++this->version; }
+
+  // Every call is answered with this status; empty for normal responses.
+  void Refuse(std::optional<int> status) { this->refusal = status; }
+
+  // Rows of a full read in one response.
+  void SetPageSize(std::size_t size) { this->page_size = size; }
+
+  int Calls(const std::string& table) { return this->calls[table]; }
+
+ private:
+  struct Row {
+    std::string value;
+    std::uint64_t version = 0;
+    bool is_removed = false;
+  };
+
+  static std::string Parameter(const std::string& target,
+                               const std::string& name) {
+    const std::size_t found = target.find(name + "=");
+    if (found == std::string::npos) {
+      return "";
+    }
+    const std::size_t start = found + name.size() + 1;
+    return target.substr(start, target.find('&', start) - start);
+  }
+
+  static std::string TableOf(const std::string& target) {
+    return Parameter(target, "table");
+  }
+
+  transport::HttpAnswer Respond(const std::string& target) {
+    if (this->refusal) {
+      return {*this->refusal, "{}"};
+    }
+    const bool is_feed = target.find("rows-feed") != std::string::npos;
+    const std::uint64_t after =
+        std::strtoull(Parameter(target, "after").c_str(), nullptr, 10);
+    if (is_feed && after < this->history_from) {
+      return {kGone, "{}"};
+    }
+    // A page starts after the last key of the one before it, written as the key
+    // and a NUL.
+    std::string from = Parameter(target, "from");
+    from = from.substr(0, from.find("%00"));
+    nlohmann::json body = {{"rows", nlohmann::json::array()},
+                           {"has_more", false}};
+    for (const auto& [key, row] : this->rows[TableOf(target)]) {
+      const bool is_listed =
+          is_feed ? row.version > after : !row.is_removed && key > from;
+      if (!is_listed) {
+        continue;
+      }
+      if (!is_feed && body["rows"].size() == this->page_size) {
+        body["has_more"] = true;
+        break;
+      }
+      body["rows"].push_back({{"table", TableOf(target)},
+                              {"part", ""},
+                              {"key", key},
+                              {"value", Encode(row.value)},
+                              {"row_version", row.version},
+                              {"removed", row.is_removed}});
+    }
+    body["row_version"] = this->version;
+    body["current_time_ms"] = 1;
+    return {transport::HttpAnswer::kOk, body.dump()};
+  }
+
+  static std::string Encode(std::string_view bytes) {
+    namespace base64 = boost::beast::detail::base64;
+    std::string text(base64::encoded_size(bytes.size()), '\0');
+    text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+    return text;
+  }
+
+  static constexpr int kGone = 410;
+  static constexpr std::size_t kDefaultPageSize = 500;
+
+  const std::string address;
+  transport::HttpResponder responder;
+  std::map<std::string, std::map<std::string, Row>> rows;
+  std::map<std::string, int> calls;
+  std::uint64_t version = 0;
+  std::uint64_t history_from = 0;
+  std::size_t page_size = kDefaultPageSize;
+  std::optional<int> refusal;
+};
+
+}  // namespace laburnumkeel::testing
+
+#endif  // LABURNUMKEEL_TESTS_SUPPORT_FAKE_STORE_H_
