Continue a full read from the version of its first page

What callers could see: statements to a leaving endpoint for as long as nothing else changes (DRAIN), on deployments whose endpoints do not fit into one page of the store (500 rows or 1 MB); found by following each way to learn of a departure.

Cause: a full read continued with the changes after the version of its last page. A row of an earlier page that changed meanwhile was never read again. And only changes on the last page were reported to the pools.

Why this fix works: changes are read from the version of the first page on, so rows of later pages at worst come twice; changes of all pages are reported when the read is complete. Its reading time is that of the first page. Ruled out: reading the table again when the version moves between pages, which may not end while endpoints register.

--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -202,10 +202,14 @@
       since = this->context.clock.Now();
     }
   }
-  bool has_changed = false;
+  const bool is_first_page = reader.load_from.empty();
+  if (is_first_page) {
+    reader.first_page_version = rows->store_version;
+    reader.first_page_called_at = reader.called_at;
+  }
   for (const StoreRow& row : rows->rows) {
     if (this->Apply(reader, row)) {
-      has_changed = true;
+      reader.has_changed = true;
       reader.state.version = std::max(reader.state.version, row.version);
     }
     if (!reader.is_loaded) {
@@ -221,7 +225,7 @@
   if (!reader.is_loaded) {
     if (this->ExpireMissingRows(reader)) {
       // Other VMs read the table when its reported version grows.
-      has_changed = true;
+      reader.has_changed = true;
       reader.state.version =
           std::max(reader.state.version, rows->store_version);
     }
@@ -234,15 +238,15 @@
     reader.is_loaded = true;
   }
   const Instant now = this->context.clock.Now();
-  reader.version = std::max(reader.version, rows->store_version);
+  reader.version = std::max(reader.version, reader.first_page_version);
   // Without a wait the answer may be as old as the call.
   reader.state.read_at =
-      reader.wait == milliseconds(0) ? reader.called_at : now;
+      reader.wait == milliseconds(0) ? reader.first_page_called_at : now;
   ConfirmDepartures(reader, reader.state);
   if (!this->is_leader) {
     reader.retry_at = now + reader.min_read_interval;
   }
-  if (has_changed) {
+  if (std::exchange(reader.has_changed, false)) {
     this->observers.on_change();
   }
 }
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -127,6 +127,13 @@
     // Keys read so far while reading in full.
     std::vector<std::string> loaded_keys;
     std::string load_from;
+    // The store's version when it sent the first page, and when that was
+    // requested: a row of the first page may change before the last one is
+    // read.
+    std::uint64_t first_page_version = 0;
+    kernel::Instant first_page_called_at;
+    // A page changed the context, and the observers are not yet told.
+    bool has_changed = false;
     bool is_lost = false;
   };
 
--- a/tests/proxy/store_link_test.cpp
+++ b/tests/proxy/store_link_test.cpp
@@ -28,6 +28,8 @@
   CPPUNIT_TEST(ReturnedEndpointIsNoLongerLeaving);
   CPPUNIT_TEST(RowMissingAfterDroppedHistoryIsReportedToOtherVms);
   CPPUNIT_TEST(EvacuationMissingAfterDroppedHistoryEnds);
+  CPPUNIT_TEST(ChangeBetweenThePagesOfAFullReadIsRead);
+  CPPUNIT_TEST(ChangeOnTheFirstPageOfAFullReadIsReported);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -126,6 +128,35 @@
     CPPUNIT_ASSERT(this->changes > changes_before);
   }
 
+  // Guards against taking the version of the last page for that of the first.
+  void ChangeBetweenThePagesOfAFullReadIsRead() {
+    this->store->DropHistory();
+    this->store->SetPageSize(1);
+    const int calls = this->store->Calls("servers");
+    this->context->clock.Advance(kReadInterval);
+    this->link->Tick(this->Now(), true);
+    // The history is gone, then the first page is read.
+    while (this->store->Calls("servers") < calls + 2) {
+      this->context->loop.restart();
+      this->context->loop.run_one_for(milliseconds(20));
+    }
+    this->PutEndpoint("a", "draining");
+    this->ReadLater();
+    this->ReadLater();
+    CPPUNIT_ASSERT(this->context->endpoints.at("a").is_draining);
+  }
+
+  // Guards against pools that are not told of a departure.
+  void ChangeOnTheFirstPageOfAFullReadIsReported() {
+    this->PutEndpoint("a", "draining");
+    this->store->DropHistory();
+    this->store->SetPageSize(1);
+    const int changes_before = this->changes;
+    this->ReadLater();
+    CPPUNIT_ASSERT(this->context->endpoints.at("a").is_draining);
+    CPPUNIT_ASSERT(this->changes > changes_before);
+  }
+
  private:
   // Longer than the time after which a VM reads the tables again.
   static constexpr milliseconds kReadInterval{2500};
