--- a/tests/proxy/service_pool_test.cpp
+++ b/tests/proxy/service_pool_test.cpp
@@ -7,23 +7,15 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
-#include "platform/wire_codec.h"
-#include "programs/laburnumkeel-proxy/proxy_context.h"
-#include "tests/support/fake_database.h"
+#include "tests/support/service_pool_fixture.h"
 
 namespace laburnumkeel::proxy {
 namespace {
 
-using statements::ErrorCode;
-using statements::StatementKind;
-using std::chrono::milliseconds;
 using testing::FakeDatabase;
 
-// A pool with a primary and a replica on loopback connections, and a paused
-// clock.
-class ServicePoolTest : public CppUnit::TestFixture {
+class ServicePoolTest : public testing::ServicePoolFixture {
   CPPUNIT_TEST_SUITE(ServicePoolTest);
   CPPUNIT_TEST(LostReplyToAWriteIsUnknown);
   CPPUNIT_TEST(RefusedWriteIsSentAgain);
@@ -44,41 +36,10 @@
   CPPUNIT_TEST(LostTransactionIsAborted);
   CPPUNIT_TEST(TimedOutStatementClosesItsConnection);
   CPPUNIT_TEST(StatementThatCannotBeServedInTimeIsRefused);
-  CPPUNIT_TEST(EvacuatedDataCentreGetsNoReads);
-  CPPUNIT_TEST(EvacuatedDataCentreEndsItsTransactions);
-  CPPUNIT_TEST(RefusedStatementOfATransactionIsNotSentAgainAfterTheEvacuation);
-  CPPUNIT_TEST(DrainingPrimaryGetsNothingAfterItsBound);
-  CPPUNIT_TEST(UnregisteredEndpointGetsNothingAfterItsBound);
-  CPPUNIT_TEST(WaitingStatementIsNotSentAfterTheBound);
-  CPPUNIT_TEST(WaitingWriteIsNotSentToAFormerPrimary);
-  CPPUNIT_TEST(BegunTransactionIsNotUsedAfterTheBound);
-  CPPUNIT_TEST(RefusedFirstStatementIsNotSentAgainAfterTheBound);
   CPPUNIT_TEST(AllowedRegionsAreRespected);
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void setUp() override {
-    this->context = std::make_unique<ProxyContext>(MakeSettings());
-    this->context->clock.Pause();
-    this->primary = std::make_unique<FakeDatabase>(this->context->loop);
-    this->replica = std::make_unique<FakeDatabase>(this->context->loop);
-    this->AddEndpoint("p", this->primary->Address(), "far");
-    this->AddEndpoint("r", this->replica->Address(), "near");
-    auto configuration = std::make_shared<model::ProxyConfiguration>();
-    configuration->services["s"] = {"s", 20, 0};
-    configuration->accounts["acc"] = {"acc", 100, 100, {}};
-    this->context->configuration = configuration;
-    this->context->primaries.Adopt({"s", "p", 1, false, 1});
-    this->pool = std::make_unique<ServicePool>(*this->context, "s");
-  }
-
-  void tearDown() override {
-    this->pool.reset();
-    this->primary.reset();
-    this->replica.reset();
-    this->context.reset();
-  }
-
   // Guards against a write that runs twice, and against reporting success or
   // failure of a write whose outcome is unknown.
   void LostReplyToAWriteIsUnknown() {
@@ -303,142 +264,16 @@
     CPPUNIT_ASSERT(this->finished->error == ErrorCode::kBusy);
   }
 
-  void EvacuatedDataCentreGetsNoReads() {
-    this->RenewReadLease();
-    this->AddSample();
-    this->context->evacuations.ConfirmComplete(this->context->clock.Now());
-    this->context->evacuations.Begin("near");
-    this->Run(this->Read());
-    CPPUNIT_ASSERT_EQUAL(0, this->replica->Connections());
-    // The primary stays in use until shortly before the evacuation bound, which
-    // this VM learns of 2 s late.
-    this->context->clock.Advance(milliseconds(2000));
-    this->context->evacuations.Begin("far");
-    CPPUNIT_ASSERT(this->Run(this->Write()).reply.has_value());
-    this->context->clock.Advance(milliseconds(2400));
-    this->RenewReadLease();
-    CPPUNIT_ASSERT(this->Run(this->Write()).error == ErrorCode::kBusy);
-  }
-
   // Guards against statements of an open transaction that reach the data centre
   // after the evacuation bound.
-  void EvacuatedDataCentreEndsItsTransactions() {
-    this->RenewReadLease();
-    const JobResult begun = this->Run(this->FirstOfTransaction());
-    this->context->evacuations.ConfirmComplete(this->context->clock.Now());
-    this->context->evacuations.Begin("far");
-    this->context->clock.Advance(milliseconds(4400));
-    const int before = this->primary->Count("WRITE");
-    const JobResult ended = this->RunPinned(this->Write(), begun.connection);
-    CPPUNIT_ASSERT(!ended.reply && ended.error == ErrorCode::kAborted);
-    CPPUNIT_ASSERT_EQUAL(before, this->primary->Count("WRITE"));
-  }
-
-  void RefusedStatementOfATransactionIsNotSentAgainAfterTheEvacuation() {
-    this->RenewReadLease();
-    const JobResult begun = this->Run(this->FirstOfTransaction());
-    this->context->evacuations.ConfirmComplete(this->context->clock.Now());
-    this->context->evacuations.Begin("far");
-    const kernel::Instant bound =
-        this->context->clock.Now() + milliseconds(5000);
-    this->context->clock.Advance(milliseconds(4300));
-    std::vector<kernel::Instant> sent;
-    this->RefuseAsBusy("WRITE 1 data", &sent);
-    const JobResult result = this->RunPinned(this->Write(), begun.connection);
-    CPPUNIT_ASSERT(ErrorOf(result) == ErrorCode::kAborted);
-    CPPUNIT_ASSERT(!sent.empty());
-    CPPUNIT_ASSERT(sent.back() < bound - milliseconds(600));
-  }
-
   // Guards against a primary that stays in use while nobody replaces it.
-  void DrainingPrimaryGetsNothingAfterItsBound() {
-    this->BeginDeparture("p");
-    this->context->endpoints["p"].is_draining = true;
-    this->pool->OnDirectoryChanged();
-    this->context->clock.Advance(milliseconds(6000));
-    CPPUNIT_ASSERT(this->Succeeds(this->Write()));
-    CPPUNIT_ASSERT(this->Succeeds(this->StrictRead()));
-    this->context->clock.Advance(milliseconds(1000));
-    const auto client_statements = [this] {
-      return this->primary->Count("QUERY id") + this->primary->Count("BEGIN");
-    };
-    const int before = client_statements();
-    CPPUNIT_ASSERT(!this->Succeeds(this->Write()));
-    CPPUNIT_ASSERT(!this->Succeeds(this->StrictRead()));
-    CPPUNIT_ASSERT(!this->Succeeds(this->FirstOfTransaction()));
-    this->context->endpoints.erase("r");
-    CPPUNIT_ASSERT(!this->Succeeds(this->Read()));
-    CPPUNIT_ASSERT_EQUAL(before, client_statements());
-  }
-
   // Guards against an endpoint that stays in use because the store cannot be
   // read for long enough to remove it.
-  void UnregisteredEndpointGetsNothingAfterItsBound() {
-    this->BeginDeparture("r");
-    this->context->clock.Advance(milliseconds(7000));
-    this->RenewReadLease();
-    this->AddSample();
-    CPPUNIT_ASSERT_EQUAL(std::string("p"), this->Run(this->Read()).endpoint_id);
-    CPPUNIT_ASSERT_EQUAL(0, this->replica->Connections());
-  }
-
   // Guards against a choice that no longer holds when a connection is free.
-  void WaitingStatementIsNotSentAfterTheBound() {
-    this->BeginDeparture("r");
-    this->context->clock.Advance(milliseconds(6300));
-    this->RenewReadLease();
-    this->AddSample();
-    const JobPointer read = this->Read();
-    this->Submit(read);
-    CPPUNIT_ASSERT_EQUAL(std::string("r"), read->endpoint_id);
-    this->context->clock.Advance(milliseconds(200));
-    CPPUNIT_ASSERT_EQUAL(std::string("p"),
-                         this->RunUntilFinished(read).endpoint_id);
-    CPPUNIT_ASSERT_EQUAL(0, this->replica->Count("READ"));
-  }
-
-  void WaitingWriteIsNotSentToAFormerPrimary() {
-    const JobPointer write = this->Write();
-    this->Submit(write);
-    CPPUNIT_ASSERT_EQUAL(std::string("p"), write->endpoint_id);
-    this->context->primaries.Adopt({"s", "r", 2, false, 3});
-    this->pool->OnDirectoryChanged();
-    CPPUNIT_ASSERT_EQUAL(std::string("r"),
-                         this->RunUntilFinished(write).endpoint_id);
-    CPPUNIT_ASSERT_EQUAL(0, this->primary->Count("WRITE"));
-  }
-
   // Guards against the first statement of a transaction whose BEGIN was
   // answered late.
-  void BegunTransactionIsNotUsedAfterTheBound() {
-    this->BeginDeparture("p");
-    this->context->clock.Advance(milliseconds(6300));
-    this->primary->SetScript([this](std::string_view line) {
-      if (line.find("BEGIN") != std::string_view::npos) {
-        this->context->clock.Advance(milliseconds(200));
-      }
-      return this->primary->Succeed(line);
-    });
-    CPPUNIT_ASSERT(!this->Succeeds(this->FirstOfTransaction()));
-    CPPUNIT_ASSERT_EQUAL(1, this->primary->Count("BEGIN"));
-    CPPUNIT_ASSERT_EQUAL(1, this->primary->Count("ROLLBACK"));
-    CPPUNIT_ASSERT_EQUAL(0, this->primary->Count("READ 1"));
-  }
-
   // Guards against a transaction that is held open for its first statement
   // until a busy endpoint has left.
-  void RefusedFirstStatementIsNotSentAgainAfterTheBound() {
-    this->BeginDeparture("p");
-    this->context->clock.Advance(milliseconds(6300));
-    const kernel::Instant cutoff =
-        this->context->clock.Now() + milliseconds(100);
-    std::vector<kernel::Instant> sent;
-    this->RefuseAsBusy("READ 1", &sent);
-    CPPUNIT_ASSERT(!this->Succeeds(this->FirstOfTransaction()));
-    CPPUNIT_ASSERT(!sent.empty());
-    CPPUNIT_ASSERT(sent.back() < cutoff);
-  }
-
   void AllowedRegionsAreRespected() {
     this->RenewReadLease();
     this->AddSample();
@@ -449,166 +284,6 @@
     account->account_regions = {"region-near"};
     CPPUNIT_ASSERT(this->Run(account).error == ErrorCode::kBusy);
   }
-
- private:
-  static platform_adapter::ProxySettings MakeSettings() {
-    platform_adapter::ProxySettings settings;
-    settings.vm = "vm";
-    settings.data_centre = "near";
-    settings.region = "region-near";
-    settings.regions = {{"near", "region-near"}, {"far", "region-far"}};
-    return settings;
-  }
-
-  void AddEndpoint(const std::string& id, const std::string& address,
-                   const std::string& data_centre) {
-    model::DatabaseEndpoint endpoint;
-    endpoint.id = id;
-    endpoint.service = "s";
-    endpoint.address = address;
-    endpoint.data_centre = data_centre;
-    endpoint.slots = 3;
-    this->context->endpoints[id] = endpoint;
-  }
-
-  // The endpoint was not yet leaving at the current time.
-  void BeginDeparture(const std::string& id) {
-    this->context->endpoint_departures.ConfirmComplete(
-        this->context->clock.Now());
-    this->context->endpoint_departures.Begin(id);
-  }
-
-  bool Succeeds(const JobPointer& job) {
-    this->RenewReadLease();
-    const JobResult result = this->Run(job);
-    return result.reply && result.reply->signature;
-  }
-
-  // The primary refuses the first `count` statements that contain `word`.
-  void RefuseAsBusy(const std::string& word, int count) {
-    this->primary->SetScript(
-        [this, word, count](std::string_view line) -> std::string {
-          const bool is_refused = line.find(word) != std::string_view::npos &&
-                                  this->primary->Count(word) <= count;
-          return is_refused ? this->primary->Refuse("BUSY full")
-                            : this->primary->Succeed(line);
-        });
-  }
-
-  // The primary refuses every statement that contains `word`; `sent` receives
-  // the times at which they arrive.
-  void RefuseAsBusy(const std::string& word,
-                    std::vector<kernel::Instant>* sent) {
-    this->primary->SetScript(
-        [this, word, sent](std::string_view line) -> std::string {
-          if (line.find(word) == std::string_view::npos) {
-            return this->primary->Succeed(line);
-          }
-          sent->push_back(this->context->clock.Now());
-          return this->primary->Refuse("BUSY full");
-        });
-  }
-
-  // The error that the client receives, from the endpoint or from the proxy.
-  static ErrorCode ErrorOf(const JobResult& result) {
-    const bool has_succeeded = result.reply && result.reply->signature;
-    CPPUNIT_ASSERT(!has_succeeded);
-    return result.reply ? result.reply->error : result.error;
-  }
-
-  void RenewReadLease() {
-    this->context->primaries.ConfirmAll(100, this->context->clock.Now());
-  }
-  void AddSample() {
-    this->pool->AddSample({1, 4}, this->context->clock.Now());
-  }
-
-  JobPointer MakeJob(JobKind kind, StatementKind statement,
-                     const std::string& text) {
-    auto job = std::make_shared<StatementJob>();
-    job->kind = kind;
-    job->statement.kind = statement;
-    job->statement.id = "id";
-    job->statement.text = text;
-    job->account = "acc";
-    job->route.service = "s";
-    job->route.consistency = model::ReadConsistency::kReadYourWrites;
-    job->route.max_staleness = milliseconds(2500);
-    job->arrived = this->context->clock.Now();
-    job->deadline = job->arrived + milliseconds(1000);
-    return job;
-  }
-  JobPointer Write() {
-    return this->MakeJob(JobKind::kWrite, StatementKind::kWrite,
-                         "WRITE 1 data");
-  }
-  JobPointer Read() {
-    return this->MakeJob(JobKind::kRead, StatementKind::kRead, "READ 1");
-  }
-  JobPointer StrictRead() {
-    JobPointer job =
-        this->MakeJob(JobKind::kStrictRead, StatementKind::kRead, "READ 1");
-    job->route.consistency = model::ReadConsistency::kPrimary;
-    return job;
-  }
-  JobPointer FirstOfTransaction() {
-    JobPointer job = this->StrictRead();
-    job->opens_transaction = true;
-    return job;
-  }
-  JobPointer Commit() {
-    return this->MakeJob(JobKind::kStrictRead, StatementKind::kCommit,
-                         "COMMIT");
-  }
-
-  std::optional<JobResult> Submit(const JobPointer& job) {
-    this->finished.reset();
-    job->done = [this](JobResult result) {
-      this->finished = std::move(result);
-    };
-    this->pool->Submit(job);
-    return this->finished;
-  }
-
-  JobResult Run(const JobPointer& job) {
-    this->Submit(job);
-    return this->RunUntilFinished(job);
-  }
-
-  JobResult RunPinned(const JobPointer& job,
-                      const std::shared_ptr<EndpointConnection>& connection) {
-    this->finished.reset();
-    job->done = [this](JobResult result) {
-      this->finished = std::move(result);
-    };
-    this->pool->SubmitPinned(job, connection);
-    return this->RunUntilFinished(job);
-  }
-
-  // Processes messages and advances the clock until the job has finished.
-  JobResult RunUntilFinished(const JobPointer& job) {
-    for (int tick = 0; tick < 80 && !this->finished; ++tick) {
-      this->Poll();
-      if (!this->finished) {
-        this->context->clock.Advance(milliseconds(25));
-        this->pool->Tick(this->context->clock.Now());
-      }
-    }
-    CPPUNIT_ASSERT_MESSAGE(job->statement.text, this->finished.has_value());
-    return *this->finished;
-  }
-
-  // Runs all ready handlers; messages on loopback take a moment to arrive.
-  void Poll() {
-    this->context->loop.restart();
-    this->context->loop.run_for(milliseconds(4));
-  }
-
-  std::unique_ptr<ProxyContext> context;
-  std::unique_ptr<FakeDatabase> primary;
-  std::unique_ptr<FakeDatabase> replica;
-  std::unique_ptr<ServicePool> pool;
-  std::optional<JobResult> finished;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServicePoolTest);
