Step the former primary down before its log is compared

What callers saw: commits that they had been told of were missing after a planned change of primary (LOST), when replicas joined meanwhile.

Cause: the known replicas were paused and compared while the former primary went on.

Change: in a change whose former primary responds, a successor that keeps up is awaited, then the former primary is told to step down and its log end is the proof: the successor is promoted once it has that position. When none has it after 300 ms, the former primary, which has every commit, is promoted again. Without an answer of the former primary all replicas are paused, and the list of endpoints must have been read after that. change_step lines show what a waiting change lacks.

Ruled out: a fresh list alone (see cause); members asked of the primary (the protocol has no such call); pausing replicas that join (they register after they receive).

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -33,6 +33,9 @@
 constexpr milliseconds kCancelTimeout{2500};
 constexpr milliseconds kReplicaQueryPeriod{800};
 constexpr milliseconds kMemberQueryPeriod{100};
+// Log entries that the former primary had sent when it stepped down arrive
+// within this time; covers round trips between regions.
+constexpr milliseconds kCatchUpTime{300};
 // Time that must remain on the leader lease when the platform is called to
 // promote an endpoint; covers the duration of the call.
 constexpr milliseconds kLeaderLeaseMargin{1000};
@@ -461,6 +464,7 @@
   member.has_answered = true;
   member.is_primary = state->is_primary;
   member.term = state->term;
+  member.received_before = member.received;
   member.received = state->received;
   member.paused_term = state->paused_term;
   watch->term = std::max(watch->term, state->term);
@@ -565,7 +569,9 @@
   }
   promotion::ChangeView view;
   view.former = this->context.primaries.Find(service)->endpoint_id;
-  view.is_planned = change.is_planned;
+  view.is_planned =
+      change.is_planned &&
+      now < this->find_pool(service).LastContact(view.former) + kFailureTimeout;
   view.read_leases_expired = now >= *change.read_leases_expire_at;
   model::Term highest = 0;
   for (const auto& [id, endpoint] : this->context.endpoints) {
@@ -585,6 +591,7 @@
   if (view.next_term == 0) {
     return;
   }
+  this->ObserveProofs(change, view, now);
   const ChangeStep step = promotion::NextStep(view);
   const bool touches_replica = step.action == ChangeAction::kPause ||
                                step.action == ChangeAction::kResume;
@@ -595,17 +602,48 @@
   this->PerformStep(service, watch, step, now);
 }
 
+void FailoverManager::ObserveProofs(ServiceChange& change,
+                                    promotion::ChangeView& view, Instant now) {
+  const bool are_all_paused = std::all_of(
+      view.members.begin(), view.members.end(), [&](const auto& member) {
+        return member.id == view.former ||
+               (member.has_answered && member.paused_term >= view.next_term);
+      });
+  if (!are_all_paused) {
+    change.all_paused_since.reset();
+  } else if (!change.all_paused_since) {
+    change.all_paused_since = now;
+  }
+  view.are_members_current =
+      change.all_paused_since &&
+      this->store.EndpointRows().read_at > *change.all_paused_since;
+  const ChangeMember& former = change.members[view.former];
+  if (former.has_answered && !former.is_primary && !change.stepped_down_at) {
+    change.stepped_down_at = now;
+  }
+  view.is_catch_up_over =
+      change.stepped_down_at && now >= *change.stepped_down_at + kCatchUpTime;
+}
+
 void FailoverManager::PerformStep(const std::string& service,
                                   ServiceWatch& watch, const ChangeStep& step,
                                   Instant now) {
   ServiceChange& change = *watch.change;
-  if (step != change.last_step && step.action != ChangeAction::kWait) {
-    LogEvent(kChangeStep,
-             {{"service", service},
-              {"action", ToString(step.action)},
-              {"endpoint", step.endpoint},
-              {"term", change.next_term},
-              {"elapsed_ms", kernel::ToMilliseconds(now - change.started)}});
+  if (step != change.last_step) {
+    const auto is_silent = [](const auto& entry) {
+      return !entry.second.has_answered;
+    };
+    LogEvent(
+        kChangeStep,
+        {{"service", service},
+         {"action", ToString(step.action)},
+         {"endpoint", step.endpoint},
+         {"term", change.next_term},
+         {"silent_members", std::count_if(change.members.begin(),
+                                          change.members.end(), is_silent)},
+         {"endpoints_read_ms_ago",
+          kernel::ToMilliseconds(now - this->store.EndpointRows().read_at)},
+         {"elapsed_ms", kernel::ToMilliseconds(now - change.started)}});
   }
   change.last_step = step;
   switch (step.action) {
@@ -624,6 +662,14 @@
       change.queried_at[step.endpoint] = now + kQueryTimeout;
       this->RunOnMember(service, step.endpoint, platform_adapter::ResumeText());
       return;
+    case ChangeAction::kStepDown:
+      if (change.members[step.endpoint].has_answered) {
+        change.members[step.endpoint].has_answered = false;
+        change.queried_at[step.endpoint] = now + kQueryTimeout;
+        this->RunOnMember(service, step.endpoint,
+                          platform_adapter::StepDownText(change.next_term));
+      }
+      return;
     case ChangeAction::kPromote:
       this->Promote(service, watch, step.endpoint, now);
       return;
--- a/programs/laburnumkeel-proxy/service_watch.h
+++ b/programs/laburnumkeel-proxy/service_watch.h
@@ -29,6 +29,10 @@
   // The platform takes some time to carry out an accepted call.
   kernel::Instant promotion_retry_at;
   std::map<std::string, promotion::ChangeMember> members;
+  // Since when all known replicas are paused; empty while one is not.
+  std::optional<kernel::Instant> all_paused_since;
+  // When the former primary first responded as a replica.
+  std::optional<kernel::Instant> stepped_down_at;
   std::map<std::string, kernel::Instant> queried_at;
   promotion::ChangeStep last_step;
 };
--- a/src/laburnumkeel/promotion/change_plan.cpp
+++ b/src/laburnumkeel/promotion/change_plan.cpp
@@ -39,89 +39,86 @@
   return left.id < right.id;
 }
 
-// True when no acknowledged commit can be missing in `candidate`.
-bool HoldsAllCommits(const ChangeMember& candidate, const ChangeView& view) {
-  const std::vector<const ChangeMember*> replicas = Replicas(view);
-  const bool all_replicas_known =
-      std::all_of(replicas.begin(), replicas.end(),
-                  [&](const auto* member) { return IsPaused(*member, view); });
-  const bool is_longest =
-      std::all_of(replicas.begin(), replicas.end(), [&](const auto* member) {
-        return !member->has_answered || candidate.received >= member->received;
-      });
-  if (all_replicas_known) {
-    return is_longest;
-  }
-  // A replica is unreachable. The former primary's log has every commit, but
-  // it can be compared only once it no longer grows.
-  const ChangeMember* former = FindFormer(view);
-  return is_longest && former != nullptr && former->has_answered &&
-         !former->is_primary && candidate.received >= former->received;
-}
-
-ChangeStep NextUnplannedStep(const ChangeView& view) {
+// The best replica among those that have responded; null without one.
+template <class Predicate>
+const ChangeMember* FindBest(const ChangeView& view, Predicate is_suitable) {
   const ChangeMember* best = nullptr;
   for (const ChangeMember* member : Replicas(view)) {
-    if (!member->has_answered) {
-      continue;
-    }
-    if (!IsPaused(*member, view)) {
-      return {ChangeAction::kPause, member->id};
-    }
-    if (best == nullptr || IsBetter(*member, *best)) {
+    if (member->has_answered && is_suitable(*member) &&
+        (best == nullptr || IsBetter(*member, *best))) {
       best = member;
     }
   }
-  if (best == nullptr || !view.read_leases_expired ||
-      !HoldsAllCommits(*best, view)) {
+  return best;
+}
+
+bool IsEligible(const ChangeMember& member) { return member.is_eligible; }
+
+ChangeStep PromoteIfRead(const ChangeView& view, const ChangeMember* member) {
+  if (member == nullptr || !view.read_leases_expired) {
     return {};
   }
-  return {ChangeAction::kPromote, best->id};
+  return {ChangeAction::kPromote, member->id};
 }
 
-ChangeStep NextPlannedStep(const ChangeView& view) {
+// Pauses every replica, and promotes the one with the longest log.
+ChangeStep NextStepWithoutPrimary(const ChangeView& view) {
   const std::vector<const ChangeMember*> replicas = Replicas(view);
-  const ChangeMember* candidate = nullptr;
   for (const ChangeMember* member : replicas) {
-    if (!member->has_answered || !member->is_eligible) {
-      continue;
-    }
-    // The replica that does not become the primary is paused first, so an
-    // unpaused one is preferred.
-    const bool is_better =
-        candidate == nullptr ||
-        (!IsPaused(*member, view) && IsPaused(*candidate, view)) ||
-        (IsPaused(*member, view) == IsPaused(*candidate, view) &&
-         IsBetter(*member, *candidate));
-    if (is_better) {
-      candidate = member;
+    if (member->has_answered && !IsPaused(*member, view)) {
+      return {ChangeAction::kPause, member->id};
     }
   }
-  if (candidate == nullptr) {
+  // A replica that does not respond may be the only one with the last commits.
+  const bool are_all_paused =
+      std::all_of(replicas.begin(), replicas.end(),
+                  [&](const auto* member) { return IsPaused(*member, view); });
+  if (!are_all_paused || !view.are_members_current) {
     return {};
   }
-  for (const ChangeMember* member : replicas) {
-    if (member != candidate && !IsPaused(*member, view)) {
-      return member->has_answered ? ChangeStep{ChangeAction::kPause, member->id}
-                                  : ChangeStep{};
+  return PromoteIfRead(
+      view, FindBest(view, [](const ChangeMember&) { return true; }));
+}
+
+// Steps the former primary down when a replica can take over at once.
+ChangeStep NextStepWithPrimary(const ChangeView& view,
+                               const ChangeMember& former) {
+  for (const ChangeMember* member : Replicas(view)) {
+    // Left paused by a change that was not completed.
+    if (member->has_answered && member->paused_term != 0) {
+      return {ChangeAction::kResume, member->id};
     }
   }
-  if (!view.read_leases_expired) {
+  const ChangeMember* successor = FindBest(view, IsEligible);
+  const bool keeps_up =
+      successor != nullptr && successor->received >= former.received_before;
+  if (!keeps_up || !view.read_leases_expired) {
     return {};
   }
-  if (!IsPaused(*candidate, view)) {
-    return HoldsAllCommits(*candidate, view) ||
-                   std::all_of(replicas.begin(), replicas.end(),
-                               [&](const auto* member) {
-                                 return candidate->received >= member->received;
-                               })
-               ? ChangeStep{ChangeAction::kPause, candidate->id}
-               : ChangeStep{};
+  return {ChangeAction::kStepDown, former.id};
+}
+
+// The former primary accepts no further commit.
+ChangeStep NextStepAfterStepDown(const ChangeView& view,
+                                 const ChangeMember& former) {
+  const ChangeMember* successor = FindBest(view, IsEligible);
+  const ChangeMember* longest =
+      FindBest(view, [](const ChangeMember&) { return true; });
+  // A former primary that restarted without its log is behind the replicas and
+  // proves nothing.
+  const model::LogPosition longest_received =
+      longest == nullptr ? model::LogPosition() : longest->received;
+  if (successor != nullptr && successor->received >= former.received &&
+      former.received >= longest_received) {
+    return PromoteIfRead(view, successor);
   }
-  if (HoldsAllCommits(*candidate, view)) {
-    return {ChangeAction::kPromote, candidate->id};
+  if (!view.is_catch_up_over) {
+    return {};
   }
-  return {ChangeAction::kResume, candidate->id};
+  // The former primary holds every commit, a replica that joined and left may
+  // have been the only other one.
+  return former.received >= longest_received ? PromoteIfRead(view, &former)
+                                             : NextStepWithoutPrimary(view);
 }
 
 }  // namespace
@@ -134,6 +131,8 @@
       return "pause";
     case ChangeAction::kResume:
       return "resume";
+    case ChangeAction::kStepDown:
+      return "step_down";
     case ChangeAction::kPromote:
       return "promote";
     case ChangeAction::kPublish:
@@ -144,12 +143,17 @@
 
 ChangeStep NextStep(const ChangeView& view) {
   for (const ChangeMember& member : view.members) {
-    if (member.has_answered && member.is_primary && member.id != view.former &&
+    if (member.has_answered && member.is_primary &&
         member.term >= view.next_term) {
       return {ChangeAction::kPublish, member.id};
     }
   }
-  return view.is_planned ? NextPlannedStep(view) : NextUnplannedStep(view);
+  const ChangeMember* former = FindFormer(view);
+  if (former == nullptr || !former->has_answered) {
+    return view.is_planned ? ChangeStep() : NextStepWithoutPrimary(view);
+  }
+  return former->is_primary ? NextStepWithPrimary(view, *former)
+                            : NextStepAfterStepDown(view, *former);
 }
 
 }  // namespace laburnumkeel::promotion
--- a/src/laburnumkeel/promotion/change_plan.h
+++ b/src/laburnumkeel/promotion/change_plan.h
@@ -24,12 +24,14 @@
   model::Term paused_term = 0;
   // It may become the primary: it is not leaving and its data centre is in use.
   bool is_eligible = true;
+  // `received` in the response before the last one.
+  model::LogPosition received_before{};
 
   bool operator==(const ChangeMember&) const = default;
 };
 
 struct ChangeView {
-  // All endpoints that may hold an acknowledged commit.
+  // All known endpoints of the service. Others may join at any time.
   std::vector<ChangeMember> members;
   // The primary before the change.
   std::string former;
@@ -39,6 +41,11 @@
   model::Term next_term = 0;
   // Every read lease on the former primary has expired.
   bool read_leases_expired = false;
+  // `members` were read from the store after the last of them was paused.
+  bool are_members_current = false;
+  // Log entries that were on their way when the former primary stepped down
+  // have arrived.
+  bool is_catch_up_over = false;
 
   bool operator==(const ChangeView&) const = default;
 };
@@ -50,6 +57,8 @@
   kPause,
   // Let the endpoint receive again.
   kResume,
+  // Make the former primary a replica, so that it accepts no further commit.
+  kStepDown,
   // Ask the platform to make the endpoint the primary.
   kPromote,
   // The endpoint is the primary of the new term: publish it.
@@ -68,14 +77,13 @@
 };
 
 // Returns the next step of a change of primary. A commit is acknowledged once
-// one replica has received it, so it may exist only on the former primary and
-// one replica. An endpoint is promoted when it is paused, no other replica can
-// still confirm a commit of the former term, and its log is at least as long as
-// every log that may hold an acknowledged commit.
-//
-// In a planned change, the replica that does not become the primary is paused
-// first: the one that does then confirms every later commit, while writes
-// continue.
+// one replica has received it, and any replica may be that one, also one that
+// has joined since the change began. Two things prove that an endpoint holds
+// every acknowledged commit:
+// - The former primary has stepped down, and the endpoint's log reaches the end
+//   of the former primary's log.
+// - All registered replicas are paused, and the endpoint's log is the longest.
+//   It serves when the former primary does not respond.
 ChangeStep NextStep(const ChangeView& view);
 
 }  // namespace laburnumkeel::promotion
