Publish a promotion by an earlier leader whatever term is next

Cause: an inherited promotion was recognised by a term of at least the next one, which is chosen above all terms that the endpoints report. Since the former primary steps down, all endpoints have reached the new term by then, so the new leader looked for a term above it and asked the platform, without effect, to promote the present primary again.

Change: a primary of a term after the published one is a promotion. Ruled out: the lowest reported term as the base of the next one, which a paused or restarted endpoint lowers.

PublishesAPromotionOfATermThatIsKnown failed before. 10,000 sequences each again: no commit lost, planned or after a crash.

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -568,7 +568,9 @@
     return;
   }
   promotion::ChangeView view;
-  view.former = this->context.primaries.Find(service)->endpoint_id;
+  const routing::PrimaryRecord& record = *this->context.primaries.Find(service);
+  view.former = record.endpoint_id;
+  view.published_term = record.term;
   view.is_planned =
       change.is_planned &&
       now < this->find_pool(service).LastContact(view.former) + kFailureTimeout;
@@ -591,7 +593,7 @@
   if (view.next_term == 0) {
     return;
   }
-  this->ObserveProofs(change, view, now);
+  this->UpdateProofs(change, view, now);
   const ChangeStep step = promotion::NextStep(view);
   const bool touches_replica = step.action == ChangeAction::kPause ||
                                step.action == ChangeAction::kResume;
@@ -602,8 +604,8 @@
   this->PerformStep(service, watch, step, now);
 }
 
-void FailoverManager::ObserveProofs(ServiceChange& change,
-                                    promotion::ChangeView& view, Instant now) {
+void FailoverManager::UpdateProofs(ServiceChange& change,
+                                   promotion::ChangeView& view, Instant now) {
   const bool are_all_paused = std::all_of(
       view.members.begin(), view.members.end(), [&](const auto& member) {
         return member.id == view.former ||
--- a/programs/laburnumkeel-proxy/failover_manager.h
+++ b/programs/laburnumkeel-proxy/failover_manager.h
@@ -109,8 +109,8 @@
   void OnMemberReply(const std::string& service, const std::string& endpoint_id,
                      const std::optional<statements::EndpointReply>& reply);
   // Adds to the view what it takes to know that no commit is missing.
-  void ObserveProofs(ServiceChange& change, promotion::ChangeView& view,
-                     kernel::Instant now);
+  void UpdateProofs(ServiceChange& change, promotion::ChangeView& view,
+                    kernel::Instant now);
   void PerformStep(const std::string& service, ServiceWatch& watch,
                    const promotion::ChangeStep& step, kernel::Instant now);
   void Promote(const std::string& service, ServiceWatch& watch,
--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -214,9 +214,9 @@
          !this->IsPastEvacuation(endpoint.info.data_centre, now);
 }
 
-bool ServicePool::IsPast(const routing::DepartureTable& departures,
-                         const std::string& name, milliseconds bound,
-                         Instant now) const {
+bool ServicePool::IsPastBound(const routing::DepartureTable& departures,
+                              const std::string& name, milliseconds bound,
+                              Instant now) const {
   const auto deadline =
       departures.Deadline(name, {bound, this->context.settings.settle_time});
   return deadline && now >= *deadline - kDepartureMargin;
@@ -224,14 +224,14 @@
 
 bool ServicePool::IsPastDeparture(const std::string& endpoint_id,
                                   Instant now) const {
-  return this->IsPast(this->context.endpoint_departures, endpoint_id,
-                      this->context.settings.drain_bound, now);
+  return this->IsPastBound(this->context.endpoint_departures, endpoint_id,
+                           this->context.settings.drain_bound, now);
 }
 
 bool ServicePool::IsPastEvacuation(const std::string& data_centre,
                                    Instant now) const {
-  return this->IsPast(this->context.evacuations, data_centre,
-                      this->context.settings.evacuation_bound, now);
+  return this->IsPastBound(this->context.evacuations, data_centre,
+                           this->context.settings.evacuation_bound, now);
 }
 
 ServicePool::Freshness ServicePool::FreshnessFor(const StatementJob& job,
--- a/programs/laburnumkeel-proxy/service_pool.h
+++ b/programs/laburnumkeel-proxy/service_pool.h
@@ -125,9 +125,9 @@
   bool MoveIfUnusable(const JobPointer& job);
   // True from kDepartureMargin before the bound of the departure, when not even
   // a primary that has not been replaced yet may receive statements.
-  bool IsPast(const routing::DepartureTable& departures,
-              const std::string& name, std::chrono::milliseconds bound,
-              kernel::Instant now) const;
+  bool IsPastBound(const routing::DepartureTable& departures,
+                   const std::string& name, std::chrono::milliseconds bound,
+                   kernel::Instant now) const;
   bool IsPastDeparture(const std::string& endpoint_id,
                        kernel::Instant now) const;
   bool IsPastEvacuation(const std::string& data_centre,
--- a/src/laburnumkeel/promotion/change_plan.cpp
+++ b/src/laburnumkeel/promotion/change_plan.cpp
@@ -54,13 +54,34 @@
 
 bool IsEligible(const ChangeMember& member) { return member.is_eligible; }
 
-ChangeStep PromoteIfRead(const ChangeView& view, const ChangeMember* member) {
+ChangeStep PromoteAfterLeases(const ChangeView& view,
+                              const ChangeMember* member) {
   if (member == nullptr || !view.read_leases_expired) {
     return {};
   }
   return {ChangeAction::kPromote, member->id};
 }
 
+// The endpoint that a promotion, also one by an earlier leader, has made the
+// primary of a term after the published one; null without one.
+const ChangeMember* FindPromoted(const ChangeView& view) {
+  const ChangeMember* newest = nullptr;
+  for (const ChangeMember& member : view.members) {
+    if (member.has_answered && member.is_primary &&
+        (newest == nullptr || member.term > newest->term)) {
+      newest = &member;
+    }
+  }
+  if (newest == nullptr) {
+    return nullptr;
+  }
+  // The former primary is promoted again only by this change.
+  const bool is_promoted = newest->id == view.former
+                               ? newest->term >= view.next_term
+                               : newest->term > view.published_term;
+  return is_promoted ? newest : nullptr;
+}
+
 // Pauses every replica, and promotes the one with the longest log.
 ChangeStep NextStepWithoutPrimary(const ChangeView& view) {
   const std::vector<const ChangeMember*> replicas = Replicas(view);
@@ -76,7 +97,7 @@
   if (!are_all_paused || !view.are_members_current) {
     return {};
   }
-  return PromoteIfRead(
+  return PromoteAfterLeases(
       view, FindBest(view, [](const ChangeMember&) { return true; }));
 }
 
@@ -106,19 +127,19 @@
       FindBest(view, [](const ChangeMember&) { return true; });
   // A former primary that restarted without its log is behind the replicas and
   // proves nothing.
-  const model::LogPosition longest_received =
-      longest == nullptr ? model::LogPosition() : longest->received;
-  if (successor != nullptr && successor->received >= former.received &&
-      former.received >= longest_received) {
-    return PromoteIfRead(view, successor);
+  const bool has_kept_its_log =
+      longest == nullptr || former.received >= longest->received;
+  if (successor != nullptr && has_kept_its_log &&
+      successor->received >= former.received) {
+    return PromoteAfterLeases(view, successor);
   }
   if (!view.is_catch_up_over) {
     return {};
   }
-  // The former primary holds every commit, a replica that joined and left may
-  // have been the only other one.
-  return former.received >= longest_received ? PromoteIfRead(view, &former)
-                                             : NextStepWithoutPrimary(view);
+  // A replica that joined and left may have been the only other one with the
+  // last commits.
+  return has_kept_its_log ? PromoteAfterLeases(view, &former)
+                          : NextStepWithoutPrimary(view);
 }
 
 }  // namespace
@@ -142,11 +163,8 @@
 }
 
 ChangeStep NextStep(const ChangeView& view) {
-  for (const ChangeMember& member : view.members) {
-    if (member.has_answered && member.is_primary &&
-        member.term >= view.next_term) {
-      return {ChangeAction::kPublish, member.id};
-    }
+  if (const ChangeMember* promoted = FindPromoted(view)) {
+    return {ChangeAction::kPublish, promoted->id};
   }
   const ChangeMember* former = FindFormer(view);
   if (former == nullptr || !former->has_answered) {
--- a/src/laburnumkeel/promotion/change_plan.h
+++ b/src/laburnumkeel/promotion/change_plan.h
@@ -37,6 +37,8 @@
   std::string former;
   // The former primary works and is to be replaced.
   bool is_planned = false;
+  // Term of the former primary as published; 0 for the first one.
+  model::Term published_term = 0;
   // Term of the new primary: above all terms known when the change began.
   model::Term next_term = 0;
   // Every read lease on the former primary has expired.
--- a/tests/promotion/change_plan_test.cpp
+++ b/tests/promotion/change_plan_test.cpp
@@ -113,6 +113,8 @@
   CPPUNIT_TEST(RestartedFormerPrimaryProvesNothing);
   CPPUNIT_TEST(UnplannedChangeNeedsACurrentList);
   CPPUNIT_TEST(PublishesAnInheritedPromotion);
+  CPPUNIT_TEST(PublishesAPromotionOfATermThatIsKnown);
+  CPPUNIT_TEST(OldPrimaryIsNotPublished);
   CPPUNIT_TEST(NoAcknowledgedCommitIsLostAfterACrash);
   CPPUNIT_TEST(NoAcknowledgedCommitIsLostInAPlannedChange);
   CPPUNIT_TEST_SUITE_END();
@@ -216,6 +218,37 @@
     CPPUNIT_ASSERT((NextStep(view) == ChangeStep{ChangeAction::kPublish, "b"}));
   }
 
+  // Guards against a service without a published primary after the leader that
+  // promoted one was lost and all endpoints have reached the new term.
+  void PublishesAPromotionOfATermThatIsKnown() {
+    ChangeView view = PlannedView(7, 7);
+    view.is_planned = false;
+    view.published_term = 1;
+    view.next_term = 3;
+    view.members[0].term = 2;
+    view.members[1].term = 2;
+    view.members[1].is_primary = true;
+    view.members[2].term = 2;
+    view.members[2].is_primary = false;
+    CPPUNIT_ASSERT((NextStep(view) == ChangeStep{ChangeAction::kPublish, "b"}));
+    // The former primary does not know of its successor yet.
+    view.members[2].term = 1;
+    view.members[2].is_primary = true;
+    CPPUNIT_ASSERT((NextStep(view) == ChangeStep{ChangeAction::kPublish, "b"}));
+  }
+
+  // Guards against returning to a primary of an earlier term that has not heard
+  // of its successor.
+  void OldPrimaryIsNotPublished() {
+    ChangeView view = PlannedView(7, 7);
+    view.published_term = 2;
+    view.next_term = 3;
+    view.members[0].is_primary = true;
+    view.members[2].term = 2;
+    CPPUNIT_ASSERT(
+        (NextStep(view) == ChangeStep{ChangeAction::kStepDown, "c"}));
+  }
+
   void NoAcknowledgedCommitIsLostAfterACrash() { this->RunSeeds(false); }
   void NoAcknowledgedCommitIsLostInAPlannedChange() { this->RunSeeds(true); }
 
