--- a/tests/proxy/store_link_test.cpp
+++ b/tests/proxy/store_link_test.cpp
@@ -187,10 +187,14 @@
 
   void Read() {
     this->link->Tick(this->Now(), true);
-    constexpr int kRounds = 6;
-    for (int round = 0; round < kRounds; ++round) {
+    // A call takes a few handlers on each side. The operators' table is read
+    // again and again, so the loop does not become idle.
+    constexpr int kHandlers = 200;
+    for (int handled = 0; handled < kHandlers; ++handled) {
       this->context->loop.restart();
-      this->context->loop.run_for(milliseconds(2));
+      if (this->context->loop.run_one_for(milliseconds(50)) == 0) {
+        return;
+      }
     }
   }
 
