Log how reads of the store's tables fail

Ruled out: a line for every failure (four a second on each VM in an outage). Change: store_lost and table_read_failed carry the status, the attempts, the version that was asked for and the one that the leader reports, the duration and the bytes that arrived. A failure is logged when its status differs from the one before and at attempts 1, 2, 4, 8 and so on. store_regained tells what the first successful read brought. Failed reads, also those of the fleet table, count in store_reads_failed; store_read_bytes is the size of the others.

--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -1,6 +1,7 @@
 #include "programs/laburnumkeel-proxy/store_link.h"
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 #include "laburnumkeel/kernel/event_log.h"
@@ -195,16 +196,18 @@
     rows = platform_adapter::DecodeRows(answer.body);
   }
   if (!rows) {
-    if (!std::exchange(reader.is_lost, true)) {
-      LogEvent(kStoreLost,
-               {{"table", reader.table}, {"status", answer.status}});
-    }
-    reader.departures->OnStoreFailure(reader.called_at);
-    reader.retry_at = this->context.clock.Now() + kRetryDelay;
+    this->OnReadFailed(reader, answer);
     return;
   }
-  if (std::exchange(reader.is_lost, false)) {
-    LogEvent(kStoreRegained, {{"table", reader.table}});
+  this->context.metrics.Observe("store_read_bytes",
+                                static_cast<double>(answer.received_bytes));
+  if (const auto failures = std::exchange(reader.failures, 0); failures > 0) {
+    LogEvent(kStoreRegained, {{"table", reader.table},
+                              {"failures", failures},
+                              {"version", reader.version},
+                              {"in_full", !reader.is_loaded},
+                              {"rows", rows->rows.size()},
+                              {"received_bytes", answer.received_bytes}});
     // Rows may have expired and been written again during the outage, so the
     // grace period restarts.
     for (auto& [id, since] : this->expired_endpoints) {
@@ -260,6 +263,29 @@
   }
 }
 
+void StoreLink::OnReadFailed(TableReader& reader, const HttpAnswer& answer) {
+  const Instant now = this->context.clock.Now();
+  ++reader.failures;
+  this->context.metrics.Count("store_reads_failed");
+  const bool is_first = reader.failures == 1;
+  // Every failure that tells something new, and ever fewer of the others.
+  if (is_first || answer.status != reader.failure_status ||
+      std::has_single_bit(reader.failures)) {
+    LogEvent(is_first ? kStoreLost : kTableReadFailed,
+             {{"table", reader.table},
+              {"status", answer.status},
+              {"failures", reader.failures},
+              {"version", reader.version},
+              {"leader_version", reader.peer_state.version},
+              {"in_full", !reader.is_loaded},
+              {"elapsed_ms", kernel::ToMilliseconds(now - reader.called_at)},
+              {"received_bytes", answer.received_bytes}});
+  }
+  reader.failure_status = answer.status;
+  reader.departures->OnStoreFailure(reader.called_at);
+  reader.retry_at = now + kRetryDelay;
+}
+
 bool StoreLink::Apply(TableReader& reader, const StoreRow& row) {
   return &reader == &this->endpoint_rows ? this->ApplyEndpoint(row)
                                          : this->ApplyOperatorRow(row);
@@ -442,11 +468,12 @@
 }
 
 void StoreLink::OnFleetPage(const HttpAnswer& answer, Instant sent) {
-  if (answer.status != HttpAnswer::kOk) {
-    return;
+  std::optional<StoreRows> rows;
+  if (answer.status == HttpAnswer::kOk) {
+    rows = platform_adapter::DecodeRows(answer.body);
   }
-  const auto rows = platform_adapter::DecodeRows(answer.body);
   if (!rows) {
+    this->context.metrics.Count("store_reads_failed");
     return;
   }
   this->store_clock_ms = rows->store_now_ms;
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -140,7 +140,10 @@
     kernel::Instant first_page_called_at;
     // A page changed the context, and the observers are not yet told.
     bool has_changed = false;
-    bool is_lost = false;
+    // Calls that failed since the last successful one, and the status of the
+    // last of them.
+    std::uint64_t failures = 0;
+    int failure_status = 0;
   };
 
   struct PendingWrite {
@@ -151,6 +154,7 @@
   bool IsDue(const TableReader& reader, kernel::Instant now) const;
   void ReadTable(TableReader& reader, kernel::Instant now);
   void OnTableRead(TableReader& reader, const transport::HttpAnswer& answer);
+  void OnReadFailed(TableReader& reader, const transport::HttpAnswer& answer);
   // Records that the departures are complete as of the reading of a table, by
   // this or another VM.
   static void ConfirmDepartures(const TableReader& reader,
--- a/src/laburnumkeel/transport/http_channel.cpp
+++ b/src/laburnumkeel/transport/http_channel.cpp
@@ -92,14 +92,15 @@
         this->stream, this->buffer, *this->parser,
         [self = this->shared_from_this()](beast::error_code error,
                                           std::size_t) {
+          const std::size_t received_bytes = self->parser->get().body().size();
           if (error) {
-            self->Finish({});
+            self->Finish({0, "", received_bytes});
             return;
           }
           self->is_usable = self->parser->keep_alive();
           self->stream.expires_never();
           self->Finish({static_cast<int>(self->parser->get().result_int()),
-                        std::move(self->parser->get().body())});
+                        std::move(self->parser->get().body()), received_bytes});
         });
   }
 
--- a/src/laburnumkeel/transport/http_channel.h
+++ b/src/laburnumkeel/transport/http_channel.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -28,6 +29,8 @@
 
   int status = 0;
   std::string body;
+  // Bytes of the body that arrived, also without a complete response.
+  std::size_t received_bytes = 0;
 };
 
 // Client of an HTTP server on an event loop, with one keep-alive connection and
