Show that a VM on a narrow link misses configurations

Cause: not mended here. After a refusal by the store a VM asks for all changes since its last read. Each change holds the whole configuration, so the response grows with the length of the refusal, and a call is cut off after 700 ms. Ruled out: that the store goes on refusing (status 0, not 429), that the VM is not told (leader_version 260 beside version 218), that it skips changes.

--- a/tests/proxy/store_link_test.cpp
+++ b/tests/proxy/store_link_test.cpp
@@ -10,6 +10,7 @@
 
 #include "programs/laburnumkeel-proxy/proxy_context.h"
 #include "tests/support/fake_store.h"
+#include "tests/support/narrow_link.h"
 
 namespace laburnumkeel::proxy {
 namespace {
@@ -34,6 +35,7 @@
   CPPUNIT_TEST(WriteFromAHandlerIsSentOnce);
   CPPUNIT_TEST(FleetOnSeveralPagesIsReadInFull);
   CPPUNIT_TEST(VmThatReturnsAtAnotherAddressRegistersIt);
+  CPPUNIT_TEST(ChangesMissedDuringARefusalAreReadOverANarrowLink);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -241,6 +243,49 @@
                          own->second.address);
   }
 
+  // Load pattern: 20 configurations while the store refuses the VM, whose link
+  // carries two of them within the time limit of a call. Guards against reads
+  // that fail, and grow with each failure, until the history is dropped.
+  void ChangesMissedDuringARefusalAreReadOverANarrowLink() {
+    constexpr std::size_t kConfigurationBytes = 15000;
+    constexpr std::size_t kLinkBytes = 50000;
+    constexpr int kNewest = 20;
+    constexpr int kAttempts = 4;
+    ProxyContext remote{platform_adapter::ProxySettings()};
+    FakeStore remote_store(remote.loop);
+    testing::NarrowLink narrow(remote.loop, remote_store.Address(), kLinkBytes);
+    remote.settings.store_address = narrow.Address();
+    remote.clock.Pause();
+    StoreLink reader(remote, {[] {}, [](const auto*, auto, auto) {}});
+    const auto put = [&](int version) {
+      remote_store.Put("op", "config",
+                       {{"version", version},
+                        {"comment", std::string(kConfigurationBytes, '.')}});
+    };
+    const auto read = [&] {
+      reader.Tick(remote.clock.Now(), false);
+      remote.loop.restart();
+      // Longer than the time limit of a call.
+      remote.loop.run_for(milliseconds(800));
+      remote.clock.Advance(kReadInterval);
+    };
+    put(1);
+    read();
+    CPPUNIT_ASSERT(remote.configuration != nullptr);
+    remote_store.Refuse(429);
+    read();
+    for (int version = 2; version <= kNewest; ++version) {
+      put(version);
+    }
+    remote_store.Refuse(std::nullopt);
+    for (int attempt = 0;
+         attempt < kAttempts && remote.configuration->version < kNewest;
+         ++attempt) {
+      read();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{kNewest}, remote.configuration->version);
+  }
+
  private:
   // Longer than the time after which a VM reads the tables again.
   static constexpr milliseconds kReadInterval{2500};
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "laburnumkeel/transport/http_responder.h"
 #include "tests/support/free_port.h"
@@ -37,11 +38,11 @@
 
   void Put(const std::string& table, const std::string& key,
            const nlohmann::json& value) {
-    this->rows[table][key] = {value.dump(), ++this->version, false};
+    this->Set(table, key, {value.dump(), ++this->version, false});
   }
 
   void Remove(const std::string& table, const std::string& key) {
-    this->rows[table][key] = {"", ++this->version, true};
+    this->Set(table, key, {"", ++this->version, true});
   }
 
   // The changes so far can no longer be read one by one.
@@ -69,6 +70,18 @@
     bool is_removed = false;
   };
 
+  // A change of a row, as a feed returns it.
+  struct Change {
+    std::string table;
+    std::string key;
+    Row row;
+  };
+
+  void Set(const std::string& table, const std::string& key, const Row& row) {
+    this->rows[table][key] = row;
+    this->changes.push_back({table, key, row});
+  }
+
   static std::string Parameter(const std::string& target,
                                const std::string& name) {
     const std::size_t found = target.find(name + "=");
@@ -93,32 +106,52 @@
     if (is_feed && after < this->history_from) {
       return {kGone, "{}"};
     }
-    // A page starts after the last key of the one before it, written as the key
-    // and a NUL.
-    std::string from = Parameter(target, "from");
+    nlohmann::json body =
+        is_feed ? this->Changes(TableOf(target), after)
+                : this->Rows(TableOf(target), Parameter(target, "from"));
+    body["row_version"] = this->version;
+    body["current_time_ms"] = 1;
+    return {transport::HttpAnswer::kOk, body.dump()};
+  }
+
+  // Every change after a version, also when a later one replaces it.
+  nlohmann::json Changes(const std::string& table, std::uint64_t after) {
+    nlohmann::json body = {{"rows", nlohmann::json::array()}};
+    for (const Change& change : this->changes) {
+      if (change.table == table && change.row.version > after) {
+        body["rows"].push_back(EncodeRow(table, change.key, change.row));
+      }
+    }
+    return body;
+  }
+
+  // A page of a full read, which starts after the last key of the one before
+  // it, written as the key and a NUL.
+  nlohmann::json Rows(const std::string& table, std::string from) {
     from = from.substr(0, from.find("%00"));
     nlohmann::json body = {{"rows", nlohmann::json::array()},
                            {"has_more", false}};
-    for (const auto& [key, row] : this->rows[TableOf(target)]) {
-      const bool is_listed =
-          is_feed ? row.version > after : !row.is_removed && key > from;
-      if (!is_listed) {
+    for (const auto& [key, row] : this->rows[table]) {
+      if (row.is_removed || key <= from) {
         continue;
       }
-      if (!is_feed && body["rows"].size() == this->page_size) {
+      if (body["rows"].size() == this->page_size) {
         body["has_more"] = true;
         break;
       }
-      body["rows"].push_back({{"table", TableOf(target)},
-                              {"part", ""},
-                              {"key", key},
-                              {"value", Encode(row.value)},
-                              {"row_version", row.version},
-                              {"removed", row.is_removed}});
+      body["rows"].push_back(EncodeRow(table, key, row));
     }
-    body["row_version"] = this->version;
-    body["current_time_ms"] = 1;
-    return {transport::HttpAnswer::kOk, body.dump()};
+    return body;
+  }
+
+  static nlohmann::json EncodeRow(const std::string& table,
+                                  const std::string& key, const Row& row) {
+    return {{"table", table},
+            {"part", ""},
+            {"key", key},
+            {"value", Encode(row.value)},
+            {"row_version", row.version},
+            {"removed", row.is_removed}};
   }
 
   transport::HttpAnswer Write(const std::string& body) {
@@ -138,8 +171,8 @@
     ++this->version;
     for (const nlohmann::json& row : call.at("upserts")) {
       const std::string key = row.at("key");
-      this->rows[row.at("table")][key] = {Decode(row.at("value")),
-                                          this->version, false};
+      this->Set(row.at("table"), key,
+                {Decode(row.at("value")), this->version, false});
     }
     return {transport::HttpAnswer::kOk,
             nlohmann::json({{"row_version", this->version}}).dump()};
@@ -166,6 +199,7 @@
   const std::string address;
   transport::HttpResponder responder;
   std::map<std::string, std::map<std::string, Row>> rows;
+  std::vector<Change> changes;
   std::map<std::string, int> calls;
   int writes = 0;
   std::uint64_t version = 0;
