Read a table in full after a failed read

Callers saw: VMs refused routes and keys (404, 401) that had been confirmed 5 s and more before, up to 11 s after the store served them again; on their links nothing else was quick either. Cause: a VM asked for all changes since its last successful read. A change of the configuration holds all of it (40 kB as sent), so 22 changes are 870 kB, and a link of 10 Mbit/s carries 820 kB in the 700 ms after which a call is cut off. Each attempt fetched more than the one before. It ended when the store had dropped the changes after 20 s. Class: a retry that costs more with each failure, under a fixed time limit. Weighed: a longer time limit (the link stays busy with configurations that are replaced already, and the response grows on); resuming a response that was cut off (the store has no such call). Change: after a failed read of a table the next one reads its rows, which have a limit however long the failure lasts. What the VM knows stays in use meanwhile, and it reads as often as before.

--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -127,7 +127,9 @@
     // Endpoints are of no use before the services are known.
     return false;
   }
-  if (!reader.is_loaded || reader.peer_state.version > reader.version) {
+  const bool is_between_pages = !reader.load_from.empty();
+  if (!reader.is_loaded || is_between_pages ||
+      reader.peer_state.version > reader.version) {
     return true;
   }
   if (this->is_leader) {
@@ -156,14 +158,14 @@
 void StoreLink::ReadTable(TableReader& reader, Instant now) {
   HttpCall call;
   reader.wait = milliseconds(0);
-  if (reader.is_loaded) {
+  if (reader.is_full_read_due) {
+    call.target = platform_adapter::RowsTarget(reader.table, reader.load_from);
+  } else {
     if (this->is_leader) {
       reader.wait = reader.leader_wait;
     }
     call.target = platform_adapter::FeedTarget(reader.table, reader.version,
                                                reader.wait.count());
-  } else {
-    call.target = platform_adapter::RowsTarget(reader.table, reader.load_from);
   }
   call.timeout = kCallTimeout + reader.wait;
   reader.called_at = now;
@@ -187,6 +189,7 @@
     LogEvent(kHistoryDropped,
              {{"table", reader.table}, {"version", reader.version}});
     reader.is_loaded = false;
+    reader.is_full_read_due = true;
     reader.load_from.clear();
     reader.loaded_keys.clear();
     return;
@@ -205,7 +208,7 @@
     LogEvent(kStoreRegained, {{"table", reader.table},
                               {"failures", failures},
                               {"version", reader.version},
-                              {"in_full", !reader.is_loaded},
+                              {"in_full", reader.is_full_read_due},
                               {"rows", rows->rows.size()},
                               {"received_bytes", answer.received_bytes}});
     // Rows may have expired and been written again during the outage, so the
@@ -224,17 +227,17 @@
       reader.has_changed = true;
       reader.state.version = std::max(reader.state.version, row.version);
     }
-    if (!reader.is_loaded) {
+    if (reader.is_full_read_due) {
       reader.loaded_keys.push_back(row.key);
     }
   }
-  if (!reader.is_loaded && rows->has_more && !rows->rows.empty()) {
+  if (reader.is_full_read_due && rows->has_more && !rows->rows.empty()) {
     // The range includes its start, so a NUL is appended to start after the
     // last key.
     reader.load_from = rows->rows.back().key + "%00";
     return;
   }
-  if (!reader.is_loaded) {
+  if (reader.is_full_read_due) {
     if (this->ExpireMissingRows(reader)) {
       // Other VMs read the table when its reported version grows.
       reader.has_changed = true;
@@ -248,6 +251,7 @@
     reader.loaded_keys.clear();
     reader.load_from.clear();
     reader.is_loaded = true;
+    reader.is_full_read_due = false;
   }
   const Instant now = this->context.clock.Now();
   reader.version = std::max(reader.version, reader.first_page_version);
@@ -277,11 +281,12 @@
               {"failures", reader.failures},
               {"version", reader.version},
               {"leader_version", reader.peer_state.version},
-              {"in_full", !reader.is_loaded},
+              {"in_full", reader.is_full_read_due},
               {"elapsed_ms", kernel::ToMilliseconds(now - reader.called_at)},
               {"received_bytes", answer.received_bytes}});
   }
   reader.failure_status = answer.status;
+  reader.is_full_read_due = true;
   reader.departures->OnStoreFailure(reader.called_at);
   reader.retry_at = now + kRetryDelay;
 }
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -105,7 +105,9 @@
   void OnPrimaryWritten(const std::string& service, std::uint64_t version);
 
  private:
-  // Reads one table in full, and then only the changes since.
+  // Reads one table in full, and then only the changes since. After a failure
+  // it is read in full again: a response with the changes grows with each
+  // failure, while a page of rows has a limit.
   struct TableReader {
     std::string table;
     // The table is read when neither this VM nor the leader has read it for
@@ -128,7 +130,10 @@
     routing::DepartureTable* departures = nullptr;
     TableState state;
     TableState peer_state;
+    // All rows are known as of `version`.
     bool is_loaded = false;
+    // The next call reads rows, not changes.
+    bool is_full_read_due = true;
     std::uint64_t version = 0;
     // Keys read so far while reading in full.
     std::vector<std::string> loaded_keys;
