Log that the store was restored from a copy

Cause: a restored store gives out its versions a second time. Ruled out: guessing it from a lower version; responses of two calls can arrive in either order. Change: responses of an HTTP channel carry their headers. The store's era is read from each response; store_restored tells when it rises, and up to which versions the tables were known. No decision depends on it yet.

--- a/programs/laburnumkeel-proxy/events.h
+++ b/programs/laburnumkeel-proxy/events.h
@@ -57,6 +57,10 @@
     6519, Severity::kWarning, "table_read_failed",
     "a table of the store could again not be read: what was asked for, what "
     "the leader has reported, and how much of the response arrived"};
+inline constexpr EventDefinition kStoreRestored{
+    6527, Severity::kWarning, "store_restored",
+    "the store was restored from a copy: its versions went back, and changes "
+    "made after the copy are gone"};
 inline constexpr EventDefinition kPrimaryAdopted{
     6520, Severity::kInformation, "primary_adopted",
     "the published primary of a service, or its state, changed"};
@@ -120,39 +124,23 @@
     "a handler of the event loop threw an exception; the program goes on"};
 
 // All events of this program, for the event catalogue.
-inline constexpr std::array kEvents{kProxyReady,
-                                    kProxyStopping,
-                                    kProxyStopped,
-                                    kSettingsReloaded,
-                                    kSettingsInvalid,
-                                    kStoreLost,
-                                    kStoreRegained,
-                                    kConfigurationInForce,
-                                    kRowIgnored,
-                                    kEvacuationChanged,
-                                    kEndpointChanged,
-                                    kEndpointLeaving,
-                                    kHistoryDropped,
-                                    kTableReadInFull,
-                                    kTableReadFailed,
-                                    kPrimaryAdopted,
-                                    kDutyTaken,
-                                    kDutyLost,
-                                    kChangeStarted,
-                                    kChangeStep,
-                                    kChangeEnded,
-                                    kStatementRefused,
-                                    kSessionRefused,
-                                    kLinesOmitted,
-                                    kDatagramIgnored,
-                                    kProxyIsolated,
-                                    kEndpointRefused,
-                                    kClientLineRejected,
-                                    kOpenTransactionEnded,
-                                    kAnswerLost,
-                                    kStatementMoved,
-                                    kLeaderAnnounced,
-                                    kOperationNotAdmitted,
+inline constexpr std::array kEvents{kProxyReady,         kProxyStopping,
+                                    kProxyStopped,       kSettingsReloaded,
+                                    kSettingsInvalid,    kStoreLost,
+                                    kStoreRegained,      kConfigurationInForce,
+                                    kRowIgnored,         kEvacuationChanged,
+                                    kEndpointChanged,    kEndpointLeaving,
+                                    kHistoryDropped,     kTableReadInFull,
+                                    kTableReadFailed,    kStoreRestored,
+                                    kPrimaryAdopted,     kDutyTaken,
+                                    kDutyLost,           kChangeStarted,
+                                    kChangeStep,         kChangeEnded,
+                                    kStatementRefused,   kSessionRefused,
+                                    kLinesOmitted,       kDatagramIgnored,
+                                    kProxyIsolated,      kEndpointRefused,
+                                    kClientLineRejected, kOpenTransactionEnded,
+                                    kAnswerLost,         kStatementMoved,
+                                    kLeaderAnnounced,    kOperationNotAdmitted,
                                     kHandlerThrew};
 
 }  // namespace laburnumkeel::proxy
--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -119,6 +119,23 @@
   }
 }
 
+void StoreLink::ObserveEra(const HttpAnswer& answer) {
+  const auto header =
+      answer.headers.find(std::string(platform_adapter::kEraHeader));
+  if (header == answer.headers.end()) {
+    return;
+  }
+  const std::uint64_t new_era = platform_adapter::DecodeEra(header->second);
+  if (this->era && new_era > *this->era) {
+    LogEvent(kStoreRestored,
+             {{"era", new_era},
+              {"known_era", *this->era},
+              {"operator_version", this->operator_rows.version},
+              {"endpoint_version", this->endpoint_rows.version}});
+  }
+  this->era = std::max(this->era.value_or(0), new_era);
+}
+
 bool StoreLink::IsDue(const TableReader& reader, Instant now) const {
   if (reader.channel->IsBusy() || now < reader.retry_at) {
     return false;
@@ -185,6 +202,7 @@
 }
 
 void StoreLink::OnTableRead(TableReader& reader, const HttpAnswer& answer) {
+  this->ObserveEra(answer);
   if (answer.status == platform_adapter::kHistoryGone) {
     LogEvent(kHistoryDropped,
              {{"table", reader.table}, {"version", reader.version}});
@@ -473,6 +491,7 @@
 }
 
 void StoreLink::OnFleetPage(const HttpAnswer& answer, Instant sent) {
+  this->ObserveEra(answer);
   std::optional<StoreRows> rows;
   if (answer.status == HttpAnswer::kOk) {
     rows = platform_adapter::DecodeRows(answer.body);
@@ -593,6 +612,7 @@
   call.timeout = kWriteTimeout;
   this->context.metrics.Count("store_writes");
   this->write_channel.Send(call, [this](const HttpAnswer& answer) {
+    this->ObserveEra(answer);
     WriteOutcome outcome;
     if (answer.status == HttpAnswer::kOk) {
       const auto rows = platform_adapter::DecodeRows(answer.body);
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -156,6 +157,8 @@
     std::function<void(const WriteOutcome&)> handler;
   };
 
+  // Processes the store's era, which each of its responses contains.
+  void ObserveEra(const transport::HttpAnswer& answer);
   bool IsDue(const TableReader& reader, kernel::Instant now) const;
   void ReadTable(TableReader& reader, kernel::Instant now);
   void OnTableRead(TableReader& reader, const transport::HttpAnswer& answer);
@@ -203,6 +206,8 @@
   bool is_leader = false;
   kernel::Instant fleet_called_at;
   kernel::Instant fleet_read_sent;
+  // Empty before the first response.
+  std::optional<std::uint64_t> era;
   std::int64_t store_clock_ms = 0;
   kernel::Instant store_clock_sent;
   std::map<std::string, VmRow> vms;
--- a/src/laburnumkeel/transport/http_channel.cpp
+++ b/src/laburnumkeel/transport/http_channel.cpp
@@ -1,5 +1,6 @@
 #include "laburnumkeel/transport/http_channel.h"
 
+#include <boost/algorithm/string/case_conv.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -99,8 +100,16 @@
           }
           self->is_usable = self->parser->keep_alive();
           self->stream.expires_never();
-          self->Finish({static_cast<int>(self->parser->get().result_int()),
-                        std::move(self->parser->get().body()), received_bytes});
+          auto& response = self->parser->get();
+          HttpAnswer answer{static_cast<int>(response.result_int()),
+                            std::move(response.body()), received_bytes};
+          for (const auto& field : response) {
+            std::string name(field.name_string());
+            boost::algorithm::to_lower(name);
+            answer.headers.insert_or_assign(std::move(name),
+                                            std::string(field.value()));
+          }
+          self->Finish(answer);
         });
   }
 
--- a/src/laburnumkeel/transport/http_channel.h
+++ b/src/laburnumkeel/transport/http_channel.h
@@ -31,6 +31,8 @@
   std::string body;
   // Bytes of the body that arrived, also without a complete response.
   std::size_t received_bytes = 0;
+  // By name in lower case.
+  std::map<std::string, std::string> headers = {};
 };
 
 // Client of an HTTP server on an event loop, with one keep-alive connection and
--- a/src/laburnumkeel/transport/http_responder.cpp
+++ b/src/laburnumkeel/transport/http_responder.cpp
@@ -51,6 +51,9 @@
     this->response.result(static_cast<unsigned>(answer.status));
     this->response.version(11);
     this->response.keep_alive(this->request.keep_alive());
+    for (const auto& [name, value] : answer.headers) {
+      this->response.set(name, value);
+    }
     this->response.body() = std::move(answer.body);
     this->response.prepare_payload();
     http::async_write(this->stream, this->response,
