Show what a restored store breaks

Cause: not mended here. Readers, the leader lease and the records of primaries take versions of the store to grow for ever. Ruled out: that the configuration's own version goes back (VMs that read the table in full take it). RestoredPrimaryDoesNotReplaceItsSuccessor passes and stays.

--- a/tests/proxy/failover_manager_test.cpp
+++ b/tests/proxy/failover_manager_test.cpp
@@ -30,6 +30,9 @@
   CPPUNIT_TEST(ReplyAfterTheLeaseExpiredGivesNoOrders);
   CPPUNIT_TEST(ReleaseEndsTheChangeUnderWay);
   CPPUNIT_TEST(SmallerVmLetsLargerOnesAcquireFirst);
+  CPPUNIT_TEST(LeaderRenewsItsLeaseInARestoredStore);
+  CPPUNIT_TEST(PrimaryIsPublishedAgainInARestoredStore);
+  CPPUNIT_TEST(RestoredPrimaryDoesNotReplaceItsSuccessor);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -144,6 +147,53 @@
     CPPUNIT_ASSERT_EQUAL(std::string("vm"), this->PublishedHolder());
   }
 
+  // Guards against a fleet without a leader, whose renewals expect a version
+  // that the store no longer has. The copy is older than the lease.
+  void LeaderRenewsItsLeaseInARestoredStore() {
+    const std::uint64_t copied_version = this->store->Version();
+    this->BecomeLeader();
+    this->store->Restore(copied_version);
+    for (int step = 0; step < 60; ++step) {
+      this->ReadFleet();
+      this->Step();
+      CPPUNIT_ASSERT(this->manager->IsLeader());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("vm"), this->PublishedHolder());
+  }
+
+  // Guards against VMs that start later and find no primary.
+  void PrimaryIsPublishedAgainInARestoredStore() {
+    const std::uint64_t copied_version = this->store->Version();
+    this->BecomeLeader();
+    CPPUNIT_ASSERT_EQUAL(std::string("p"), this->PublishedPrimary());
+    this->store->Restore(copied_version);
+    for (int step = 0; step < 30; ++step) {
+      this->ReadFleet();
+      this->Step();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("p"), this->PublishedPrimary());
+  }
+
+  // Guards against statements to a primary that was replaced in the seconds
+  // which the copy lacks.
+  void RestoredPrimaryDoesNotReplaceItsSuccessor() {
+    this->BecomeLeader();
+    const std::uint64_t copied_version = this->store->Version();
+    this->store->Put(std::string(kFleetTable), "primary/s",
+                     {{"endpoint", "q"}, {"term", 7}, {"changing", false}});
+    for (int step = 0; step < 30; ++step) {
+      this->ReadFleet();
+    }
+    const auto* primary = this->context->primaries.Find("s");
+    CPPUNIT_ASSERT_EQUAL(std::string("q"), primary->endpoint_id);
+    this->store->Restore(copied_version);
+    this->store->Put("status", "row", 1);
+    for (int step = 0; step < 3; ++step) {
+      this->ReadFleet();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("q"), primary->endpoint_id);
+  }
+
  private:
   static constexpr const char* kIds = "pqr";
 
@@ -244,6 +294,12 @@
     return record ? record->holder : "";
   }
 
+  std::string PublishedPrimary() {
+    const auto record = DecodePrimary(
+        "s", 1, this->store->Value(std::string(kFleetTable), "primary/s"));
+    return record ? record->endpoint_id : "";
+  }
+
   std::unique_ptr<ProxyContext> context;
   std::unique_ptr<FakeStore> store;
   std::array<std::unique_ptr<FakeDatabase>, 3> databases;
--- a/tests/proxy/store_link_test.cpp
+++ b/tests/proxy/store_link_test.cpp
@@ -36,6 +36,8 @@
   CPPUNIT_TEST(FleetOnSeveralPagesIsReadInFull);
   CPPUNIT_TEST(VmThatReturnsAtAnotherAddressRegistersIt);
   CPPUNIT_TEST(ChangesMissedDuringARefusalAreReadOverANarrowLink);
+  CPPUNIT_TEST(ChangeBelowTheKnownVersionIsReadAfterARestore);
+  CPPUNIT_TEST(ChangeAfterARestoreIsReportedToOtherVms);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -286,6 +288,33 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{kNewest}, remote.configuration->version);
   }
 
+  // Guards against changes that are skipped because the restored store gives
+  // out their versions a second time.
+  void ChangeBelowTheKnownVersionIsReadAfterARestore() {
+    const std::uint64_t copied_version = this->store->Version();
+    this->PutUnrelatedRows(10);
+    this->ReadLater();
+    this->store->Restore(copied_version);
+    this->PutEndpoint("a", "draining");
+    this->PutUnrelatedRows(20);
+    this->ReadLater();
+    CPPUNIT_ASSERT(this->context->endpoints.at("a").is_draining);
+  }
+
+  // Guards against a change that only the leader learns of, as the versions of
+  // the restored store are below those that it has reported.
+  void ChangeAfterARestoreIsReportedToOtherVms() {
+    const std::uint64_t copied_version = this->store->Version();
+    this->PutUnrelatedRows(10);
+    this->PutEndpoint("b", "draining");
+    this->ReadLater();
+    const std::uint64_t reported = this->link->EndpointRows().version;
+    this->store->Restore(copied_version);
+    this->PutEndpoint("a", "draining");
+    this->ReadLater();
+    CPPUNIT_ASSERT(this->link->EndpointRows().version > reported);
+  }
+
  private:
   // Longer than the time after which a VM reads the tables again.
   static constexpr milliseconds kReadInterval{2500};
@@ -301,6 +330,13 @@
                       {"database_role", "replica"}});
   }
 
+  // Each raises the store's version.
+  void PutUnrelatedRows(int count) {
+    for (int row = 0; row < count; ++row) {
+      this->store->Put("status", "row", row);
+    }
+  }
+
   Instant Now() const { return this->context->clock.Now(); }
 
   std::optional<Instant> Deadline(const std::string& id) const {
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -25,11 +25,9 @@
   explicit FakeStore(boost::asio::io_context& loop)
       : address(FreeAddress()),
         responder(loop, [this](const transport::HttpCall& call) {
-          if (call.method == "POST") {
-            return this->Write(call.body);
-          }
-          ++this->calls[TableOf(call.target)];
-          return this->Respond(call.target);
+          transport::HttpAnswer answer = this->Answer(call);
+          answer.headers["store-era"] = std::to_string(this->era);
+          return answer;
         }) {
     this->responder.Listen(this->address);
   }
@@ -48,6 +46,22 @@
   // The changes so far can no longer be read one by one.
   void DropHistory() { this->history_from = ++this->version; }
 
+  std::uint64_t Version() const { return this->version; }
+
+  // The store comes back from a copy that it made at a version. Later changes
+  // are gone, and their versions are given out again.
+  void Restore(std::uint64_t copied_version) {
+    const auto kept = std::exchange(this->changes, {});
+    this->rows.clear();
+    for (const Change& change : kept) {
+      if (change.row.version <= copied_version) {
+        this->Set(change.table, change.key, change.row);
+      }
+    }
+    this->version = copied_version;
+    ++this->era;
+  }
+
   // Every call is answered with this status; empty for normal responses.
   void Refuse(std::optional<int> status) { this->refusal = status; }
 
@@ -96,6 +110,14 @@
     return Parameter(target, "table");
   }
 
+  transport::HttpAnswer Answer(const transport::HttpCall& call) {
+    if (call.method == "POST") {
+      return this->Write(call.body);
+    }
+    ++this->calls[TableOf(call.target)];
+    return this->Respond(call.target);
+  }
+
   transport::HttpAnswer Respond(const std::string& target) {
     if (this->refusal) {
       return {*this->refusal, "{}"};
@@ -103,7 +125,7 @@
     const bool is_feed = target.find("rows-feed") != std::string::npos;
     const std::uint64_t after =
         std::strtoull(Parameter(target, "after").c_str(), nullptr, 10);
-    if (is_feed && after < this->history_from) {
+    if (is_feed && (after < this->history_from || after > this->version)) {
       return {kGone, "{}"};
     }
     nlohmann::json body =
@@ -203,6 +225,7 @@
   std::map<std::string, int> calls;
   int writes = 0;
   std::uint64_t version = 0;
+  std::uint64_t era = 1;
   std::uint64_t history_from = 0;
   std::size_t page_size = kDefaultPageSize;
   std::optional<int> refusal;
