Order versions of the store across restores

Cause: versions of rows were taken to grow for ever. A store that comes back from a copy gives them out again. A reader kept the highest version it had seen and what the leader reported was compared with it, so VMs took new changes for known ones; the leader asked for changes after a version that is not there, got 410 and read the whole table every 15 ms. The leader's renewals expected a lost version until the lease expired. Class: a number is compared without the scope in which it is unique. Ruled out: the configuration's own version (nobody who read it ignored it), VMs that do not learn that the store is back (store_regained everywhere). Weighed: resetting all state on a restore (a primary or a leader that the copy lacks would be forgotten; two leaders would follow), comparing the era at each place (twelve of them, and one that is missed is this fault again). Change: a version holds its era in the upper bits from the codec on, so every comparison is right. In a new era all tables are read in full, and a response to a call of the era before is ignored; the leader reports the reading, so that the other VMs follow. A write that expects versions of an earlier era conflicts without being sent. The records of the leader lease and of primaries tell the era in which they were written. One that was restored proves nothing about the seconds that the copy lacks: it ends no lease and replaces no later record, any VM but the holder waits for 5.7 s after it learned of it, it gives no read lease, and the leader writes its own lease and the primaries again at once. Tokens of an era start above those of the era before. RestoredRecordIsNoReasonToAcquire shows two leaders when the record's age is believed. Cost: when the store is away for longer than the lease (5 s) and then restored, there is no leader for 5.7 s more.

--- a/programs/laburnumkeel-proxy/events.h
+++ b/programs/laburnumkeel-proxy/events.h
@@ -64,6 +64,9 @@
 inline constexpr EventDefinition kPrimaryAdopted{
     6520, Severity::kInformation, "primary_adopted",
     "the published primary of a service, or its state, changed"};
+inline constexpr EventDefinition kPrimaryPublishedAgain{
+    6528, Severity::kInformation, "primary_published_again",
+    "the record of a primary is written to a store that was restored since"};
 inline constexpr EventDefinition kDutyTaken{
     6521, Severity::kInformation, "duty_taken",
     "this VM acquired the leader lease and may change primaries"};
@@ -124,23 +127,41 @@
     "a handler of the event loop threw an exception; the program goes on"};
 
 // All events of this program, for the event catalogue.
-inline constexpr std::array kEvents{kProxyReady,         kProxyStopping,
-                                    kProxyStopped,       kSettingsReloaded,
-                                    kSettingsInvalid,    kStoreLost,
-                                    kStoreRegained,      kConfigurationInForce,
-                                    kRowIgnored,         kEvacuationChanged,
-                                    kEndpointChanged,    kEndpointLeaving,
-                                    kHistoryDropped,     kTableReadInFull,
-                                    kTableReadFailed,    kStoreRestored,
-                                    kPrimaryAdopted,     kDutyTaken,
-                                    kDutyLost,           kChangeStarted,
-                                    kChangeStep,         kChangeEnded,
-                                    kStatementRefused,   kSessionRefused,
-                                    kLinesOmitted,       kDatagramIgnored,
-                                    kProxyIsolated,      kEndpointRefused,
-                                    kClientLineRejected, kOpenTransactionEnded,
-                                    kAnswerLost,         kStatementMoved,
-                                    kLeaderAnnounced,    kOperationNotAdmitted,
+inline constexpr std::array kEvents{kProxyReady,
+                                    kProxyStopping,
+                                    kProxyStopped,
+                                    kSettingsReloaded,
+                                    kSettingsInvalid,
+                                    kStoreLost,
+                                    kStoreRegained,
+                                    kConfigurationInForce,
+                                    kRowIgnored,
+                                    kEvacuationChanged,
+                                    kEndpointChanged,
+                                    kEndpointLeaving,
+                                    kHistoryDropped,
+                                    kTableReadInFull,
+                                    kTableReadFailed,
+                                    kStoreRestored,
+                                    kPrimaryPublishedAgain,
+                                    kPrimaryAdopted,
+                                    kDutyTaken,
+                                    kDutyLost,
+                                    kChangeStarted,
+                                    kChangeStep,
+                                    kChangeEnded,
+                                    kStatementRefused,
+                                    kSessionRefused,
+                                    kLinesOmitted,
+                                    kDatagramIgnored,
+                                    kProxyIsolated,
+                                    kEndpointRefused,
+                                    kClientLineRejected,
+                                    kOpenTransactionEnded,
+                                    kAnswerLost,
+                                    kStatementMoved,
+                                    kLeaderAnnounced,
+                                    kOperationNotAdmitted,
                                     kHandlerThrew};
 
 }  // namespace laburnumkeel::proxy
--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -5,6 +5,7 @@
 
 #include "laburnumkeel/kernel/event_log.h"
 #include "laburnumkeel/kernel/milliseconds.h"
+#include "laburnumkeel/model/store_version.h"
 #include "platform/promotion_call.h"
 #include "programs/laburnumkeel-proxy/events.h"
 #include "programs/laburnumkeel-proxy/fleet_rows.h"
@@ -69,12 +70,16 @@
 void FailoverManager::OnLeaderRow(const promotion::LeaderRecord* record,
                                   std::uint64_t version,
                                   std::int64_t store_now_ms) {
+  const Instant now = this->context.clock.Now();
   if (record == nullptr) {
-    this->lease.ObserveAbsent(this->context.clock.Now());
-    return;
+    this->lease.ObserveAbsent(version, now);
+  } else {
+    this->lease.Observe(*record, version, store_now_ms, now);
+  }
+  if (this->lease.IsRestored() && this->lease.IsHeld(now)) {
+    // Until then, a VM that starts cannot know that the lease is held.
+    this->RenewSoon();
   }
-  this->lease.Observe(*record, version, store_now_ms,
-                      this->context.clock.Now());
 }
 
 void FailoverManager::Tick(Instant now) {
@@ -86,7 +91,7 @@
   if (is_leader != this->was_leader) {
     LogEvent(is_leader ? kDutyTaken : kDutyLost,
              {{"token", this->lease.Record() ? this->lease.Record()->token : 0},
-              {"row_version", this->lease.Version()}});
+              {"row_version", model::VersionText(this->lease.Version())}});
     this->was_leader = is_leader;
     this->watches.clear();
   }
@@ -152,15 +157,16 @@
   record.holder = this->context.settings.vm;
   record.address = this->context.settings.PeerAddress();
   record.renewed_at_ms = this->store.StoreNowMs(now);
+  record.store_era = this->store.Era();
   const auto& previous = this->lease.Record();
-  record.token = previous ? previous->token : 0;
   if (is_leader) {
+    record.token = previous->token;
     const Handover handover = this->handover_source();
     record.inactive_vms = handover.inactive_vms;
     record.withheld_operations = handover.withheld_operations;
     return record;
   }
-  ++record.token;
+  record.token = this->lease.NextToken(record.store_era);
   if (previous) {
     record.inactive_vms = previous->inactive_vms;
     // This VM may grant half of the inherited operations before its first
@@ -208,9 +214,10 @@
   // Another VM may acquire the lease as soon as the store has the record, which
   // can be long before this VM learns of it.
   this->lease.Relinquish();
-  LogEvent(kDutyLost, {{"token", record.token},
-                       {"row_version", this->lease.Version()},
-                       {"reason", "released"}});
+  LogEvent(kDutyLost,
+           {{"token", record.token},
+            {"row_version", model::VersionText(this->lease.Version())},
+            {"reason", "released"}});
   this->was_leader = false;
   this->watches.clear();
   this->WriteLeader(record, [this](const WriteOutcome& outcome) {
@@ -251,6 +258,7 @@
     this->AdvanceChange(service, watch, now);
     return;
   }
+  this->PublishAfterRestore(*record, watch);
   watch.last_response =
       std::max(watch.last_response,
                this->find_pool(service).LastContact(record->endpoint_id));
@@ -276,8 +284,25 @@
   }
 }
 
-void FailoverManager::WritePrimary(const routing::PrimaryRecord& record,
+void FailoverManager::PublishAfterRestore(const routing::PrimaryRecord& record,
+                                          ServiceWatch& watch) {
+  if (record.store_era >= this->store.Era() || watch.is_publishing) {
+    return;
+  }
+  LogEvent(kPrimaryPublishedAgain,
+           {{"service", record.service},
+            {"endpoint", record.endpoint_id},
+            {"term", record.term},
+            {"row_version", model::VersionText(record.version)}});
+  watch.is_publishing = true;
+  this->WritePrimary(record, [this, service = record.service](bool) {
+    this->watches[service].is_publishing = false;
+  });
+}
+
+void FailoverManager::WritePrimary(routing::PrimaryRecord record,
                                    std::function<void(bool)> handler) {
+  record.store_era = this->store.Era();
   const std::string key = std::string(kPrimaryKeyPrefix) + record.service;
   const std::string table(kFleetTable);
   const Instant sent = this->context.clock.Now();
@@ -411,7 +436,7 @@
   const routing::PrimaryRecord& record = *this->context.primaries.Find(service);
   LogEvent(kChangeStarted, {{"service", service},
                             {"endpoint", record.endpoint_id},
-                            {"row_version", record.version},
+                            {"row_version", model::VersionText(record.version)},
                             {"planned", is_planned},
                             {"reason", reason}});
   ServiceChange& change = watch.change.emplace();
--- a/programs/laburnumkeel-proxy/failover_manager.h
+++ b/programs/laburnumkeel-proxy/failover_manager.h
@@ -33,6 +33,7 @@
 
   // Called with the row of the leader lease as read from the store. `record` is
   // null when there is none; `store_now_ms` is the store's clock.
+  // In the first case `version` is the one of the store.
   void OnLeaderRow(const promotion::LeaderRecord* record, std::uint64_t version,
                    std::int64_t store_now_ms);
 
@@ -123,7 +124,10 @@
                const std::string& endpoint_id, kernel::Instant now);
   void Publish(const std::string& service, ServiceWatch& watch,
                const std::string& endpoint_id, model::Term term);
-  void WritePrimary(const routing::PrimaryRecord& record,
+  // Publishes a record again that the restored store may lack.
+  void PublishAfterRestore(const routing::PrimaryRecord& record,
+                           ServiceWatch& watch);
+  void WritePrimary(routing::PrimaryRecord record,
                     std::function<void(bool)> handler);
 
   ProxyContext& context;
--- a/programs/laburnumkeel-proxy/fleet_exchange.cpp
+++ b/programs/laburnumkeel-proxy/fleet_exchange.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "laburnumkeel/kernel/event_log.h"
+#include "laburnumkeel/model/store_version.h"
 #include "laburnumkeel/transport/socket_address.h"
 #include "programs/laburnumkeel-proxy/events.h"
 
@@ -181,7 +182,7 @@
   response.token = this->coordinated_token;
   response.primaries_version = this->context.primaries.NewestVersion();
   for (const auto& [service, record] : this->context.primaries.Records()) {
-    if (record.version > report.primaries_version) {
+    if (record.version > report.primaries_version && !record.IsRestored()) {
       response.primaries.push_back(record);
     }
     if (report.is_partial) {
@@ -260,15 +261,18 @@
 
 void FleetExchange::Apply(const peer::FleetResponse& response, Instant sent) {
   bool has_changed = false;
-  for (const routing::PrimaryRecord& record : response.primaries) {
+  for (routing::PrimaryRecord record : response.primaries) {
+    // The leader sends only what it has published in the present era.
+    record.store_era = model::EraOf(record.version);
     if (this->context.primaries.Adopt(record)) {
       has_changed = true;
-      LogEvent(kPrimaryAdopted, {{"service", record.service},
-                                 {"endpoint", record.endpoint_id},
-                                 {"term", record.term},
-                                 {"changing", record.is_changing},
-                                 {"row_version", record.version},
-                                 {"source", "holder"}});
+      LogEvent(kPrimaryAdopted,
+               {{"service", record.service},
+                {"endpoint", record.endpoint_id},
+                {"term", record.term},
+                {"changing", record.is_changing},
+                {"row_version", model::VersionText(record.version)},
+                {"source", "holder"}});
     }
   }
   this->context.primaries.ConfirmAll(response.primaries_version, sent);
--- a/programs/laburnumkeel-proxy/fleet_rows.cpp
+++ b/programs/laburnumkeel-proxy/fleet_rows.cpp
@@ -15,6 +15,7 @@
                {"address", record.address},
                {"token", record.token},
                {"renewed_at_ms", record.renewed_at_ms},
+               {"store_era", record.store_era},
                {"silent_vms", record.inactive_vms},
                {"kept_operations", record.withheld_operations}})
       .dump();
@@ -30,7 +31,8 @@
         document.value("renewed_at_ms", std::int64_t{0}),
         document.value("silent_vms", std::set<std::string>()),
         document.value("kept_operations",
-                       std::map<std::string, std::int64_t>())};
+                       std::map<std::string, std::int64_t>()),
+        document.value("store_era", std::uint64_t{0})};
   } catch (const json::exception&) {
     return std::nullopt;
   }
@@ -39,7 +41,8 @@
 std::string EncodePrimary(const routing::PrimaryRecord& record) {
   return json({{"endpoint", record.endpoint_id},
                {"term", record.term},
-               {"changing", record.is_changing}})
+               {"changing", record.is_changing},
+               {"store_era", record.store_era}})
       .dump();
 }
 
@@ -48,10 +51,13 @@
                                                     std::string_view value) {
   try {
     const json document = json::parse(value);
-    return routing::PrimaryRecord{std::string(service),
-                                  document.at("endpoint").get<std::string>(),
-                                  document.at("term").get<model::Term>(),
-                                  document.at("changing").get<bool>(), version};
+    return routing::PrimaryRecord{
+        std::string(service),
+        document.at("endpoint").get<std::string>(),
+        document.at("term").get<model::Term>(),
+        document.at("changing").get<bool>(),
+        version,
+        document.value("store_era", std::uint64_t{0})};
   } catch (const json::exception&) {
     return std::nullopt;
   }
--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -6,6 +6,7 @@
 
 #include "laburnumkeel/kernel/event_log.h"
 #include "laburnumkeel/kernel/milliseconds.h"
+#include "laburnumkeel/model/store_version.h"
 #include "programs/laburnumkeel-proxy/events.h"
 #include "programs/laburnumkeel-proxy/fleet_rows.h"
 
@@ -127,11 +128,19 @@
   }
   const std::uint64_t new_era = platform_adapter::DecodeEra(header->second);
   if (this->era && new_era > *this->era) {
-    LogEvent(kStoreRestored,
-             {{"era", new_era},
-              {"known_era", *this->era},
-              {"operator_version", this->operator_rows.version},
-              {"endpoint_version", this->endpoint_rows.version}});
+    LogEvent(
+        kStoreRestored,
+        {{"era", new_era},
+         {"known_era", *this->era},
+         {"operator_version", model::VersionText(this->operator_rows.version)},
+         {"endpoint_version",
+          model::VersionText(this->endpoint_rows.version)}});
+    for (TableReader* reader : {&this->operator_rows, &this->endpoint_rows}) {
+      reader->is_full_read_due = true;
+      reader->load_from.clear();
+      reader->loaded_keys.clear();
+    }
+    this->is_fleet_due = true;
   }
   this->era = std::max(this->era.value_or(0), new_era);
 }
@@ -145,7 +154,8 @@
     return false;
   }
   const bool is_between_pages = !reader.load_from.empty();
-  if (!reader.is_loaded || is_between_pages ||
+  const bool is_restored = model::EraOf(reader.version) < this->Era();
+  if (!reader.is_loaded || is_between_pages || is_restored ||
       reader.peer_state.version > reader.version) {
     return true;
   }
@@ -186,6 +196,7 @@
   }
   call.timeout = kCallTimeout + reader.wait;
   reader.called_at = now;
+  reader.called_era = this->era;
   this->context.metrics.Count("store_reads");
   reader.channel->Send(call, [this, &reader](const HttpAnswer& answer) {
     const bool had_configuration = this->context.configuration != nullptr;
@@ -203,9 +214,15 @@
 
 void StoreLink::OnTableRead(TableReader& reader, const HttpAnswer& answer) {
   this->ObserveEra(answer);
+  if (reader.called_era && reader.called_era != this->era) {
+    // The call asked for changes after a version that was given out again, or
+    // for the next page of rows that are gone.
+    return;
+  }
   if (answer.status == platform_adapter::kHistoryGone) {
     LogEvent(kHistoryDropped,
-             {{"table", reader.table}, {"version", reader.version}});
+             {{"table", reader.table},
+              {"version", model::VersionText(reader.version)}});
     reader.is_loaded = false;
     reader.is_full_read_due = true;
     reader.load_from.clear();
@@ -214,7 +231,7 @@
   }
   std::optional<StoreRows> rows;
   if (answer.status == HttpAnswer::kOk) {
-    rows = platform_adapter::DecodeRows(answer.body);
+    rows = platform_adapter::DecodeRows(answer.body, this->Era());
   }
   if (!rows) {
     this->OnReadFailed(reader, answer);
@@ -225,7 +242,7 @@
   if (const auto failures = std::exchange(reader.failures, 0); failures > 0) {
     LogEvent(kStoreRegained, {{"table", reader.table},
                               {"failures", failures},
-                              {"version", reader.version},
+                              {"version", model::VersionText(reader.version)},
                               {"in_full", reader.is_full_read_due},
                               {"rows", rows->rows.size()},
                               {"received_bytes", answer.received_bytes}});
@@ -256,16 +273,19 @@
     return;
   }
   if (reader.is_full_read_due) {
-    if (this->ExpireMissingRows(reader)) {
+    const bool is_first_of_era =
+        model::EraOf(reader.version) < model::EraOf(rows->store_version);
+    if (this->ExpireMissingRows(reader) || is_first_of_era) {
       // Other VMs read the table when its reported version grows.
       reader.has_changed = true;
       reader.state.version =
           std::max(reader.state.version, rows->store_version);
     }
-    LogEvent(kTableReadInFull, {{"table", reader.table},
-                                {"rows", reader.loaded_keys.size()},
-                                {"known_version", reader.version},
-                                {"store_version", rows->store_version}});
+    LogEvent(kTableReadInFull,
+             {{"table", reader.table},
+              {"rows", reader.loaded_keys.size()},
+              {"known_version", model::VersionText(reader.version)},
+              {"store_version", model::VersionText(rows->store_version)}});
     reader.loaded_keys.clear();
     reader.load_from.clear();
     reader.is_loaded = true;
@@ -297,8 +317,8 @@
              {{"table", reader.table},
               {"status", answer.status},
               {"failures", reader.failures},
-              {"version", reader.version},
-              {"leader_version", reader.peer_state.version},
+              {"version", model::VersionText(reader.version)},
+              {"leader_version", model::VersionText(reader.peer_state.version)},
               {"in_full", reader.is_full_read_due},
               {"elapsed_ms", kernel::ToMilliseconds(now - reader.called_at)},
               {"received_bytes", answer.received_bytes}});
@@ -336,7 +356,7 @@
                               std::uint64_t version) {
   LogEvent(kEvacuationChanged, {{"data_centre", data_centre},
                                 {"evacuated", is_evacuated},
-                                {"row_version", version}});
+                                {"row_version", model::VersionText(version)}});
 }
 
 bool StoreLink::ApplyConfiguration(const StoreRow& row) {
@@ -345,16 +365,18 @@
   }
   auto decoded = platform_adapter::DecodeConfiguration(row.value);
   if (!decoded) {
-    LogEvent(kRowIgnored, {{"key", row.key}, {"row_version", row.version}});
+    LogEvent(kRowIgnored, {{"key", row.key},
+                           {"row_version", model::VersionText(row.version)}});
     return false;
   }
   const auto& current = this->context.configuration;
   if (current && decoded->version <= current->version) {
     return false;
   }
-  LogEvent(kConfigurationInForce, {{"version", decoded->version},
-                                   {"row_version", row.version},
-                                   {"routes", decoded->routes.size()}});
+  LogEvent(kConfigurationInForce,
+           {{"version", decoded->version},
+            {"row_version", model::VersionText(row.version)},
+            {"routes", decoded->routes.size()}});
   this->context.configuration =
       std::make_shared<const model::ProxyConfiguration>(std::move(*decoded));
   return true;
@@ -379,13 +401,14 @@
   if (known != endpoints.end() && known->second == *decoded) {
     return has_returned;
   }
-  LogEvent(kEndpointChanged, {{"endpoint", row.key},
-                              {"service", decoded->service},
-                              {"address", decoded->address},
-                              {"data_centre", decoded->data_centre},
-                              {"draining", decoded->is_draining},
-                              {"primary", decoded->claims_primary},
-                              {"row_version", row.version}});
+  LogEvent(kEndpointChanged,
+           {{"endpoint", row.key},
+            {"service", decoded->service},
+            {"address", decoded->address},
+            {"data_centre", decoded->data_centre},
+            {"draining", decoded->is_draining},
+            {"primary", decoded->claims_primary},
+            {"row_version", model::VersionText(row.version)}});
   endpoints[row.key] = std::move(*decoded);
   return true;
 }
@@ -475,7 +498,9 @@
 void StoreLink::PollFleet(Instant now) {
   this->is_fleet_due = false;
   this->fleet_called_at = now;
+  this->fleet_called_era = this->era;
   this->loaded_vms.clear();
+  this->loaded_primaries.clear();
   this->ReadFleetPage("");
 }
 
@@ -492,9 +517,14 @@
 
 void StoreLink::OnFleetPage(const HttpAnswer& answer, Instant sent) {
   this->ObserveEra(answer);
+  if (this->fleet_called_era && this->fleet_called_era != this->era) {
+    // Pages of two eras do not make up a table.
+    this->is_fleet_due = true;
+    return;
+  }
   std::optional<StoreRows> rows;
   if (answer.status == HttpAnswer::kOk) {
-    rows = platform_adapter::DecodeRows(answer.body);
+    rows = platform_adapter::DecodeRows(answer.body, this->Era());
   }
   if (!rows) {
     this->context.metrics.Count("store_reads_failed");
@@ -504,6 +534,9 @@
   this->store_clock_sent = sent;
   // The row of the leader lease sorts before all others.
   bool has_leader = !this->loaded_vms.empty();
+  if (this->loaded_vms.empty()) {
+    this->fleet_version = rows->store_version;
+  }
   bool has_changed = false;
   for (const StoreRow& row : rows->rows) {
     if (row.key == kLeaderKey) {
@@ -520,7 +553,7 @@
     }
   }
   if (!has_leader) {
-    this->observers.on_leader(nullptr, 0, 0);
+    this->observers.on_leader(nullptr, rows->store_version, rows->store_now_ms);
   }
   if (rows->has_more && !rows->rows.empty()) {
     this->ReadFleetPage(rows->rows.back().key + "%00");
@@ -540,13 +573,15 @@
     return false;
   }
   this->OnPrimaryWritten(service, row.version);
+  this->loaded_primaries.insert(service);
   const bool has_changed = this->context.primaries.Adopt(*record);
   if (has_changed) {
-    LogEvent(kPrimaryAdopted, {{"service", service},
-                               {"endpoint", record->endpoint_id},
-                               {"term", record->term},
-                               {"changing", record->is_changing},
-                               {"row_version", row.version}});
+    LogEvent(kPrimaryAdopted,
+             {{"service", service},
+              {"endpoint", record->endpoint_id},
+              {"term", record->term},
+              {"changing", record->is_changing},
+              {"row_version", model::VersionText(row.version)}});
   }
   this->context.primaries.Confirm(service, row.version, sent);
   return has_changed;
@@ -554,6 +589,7 @@
 
 void StoreLink::OnFleetRead(Instant sent) {
   this->fleet_read_sent = sent;
+  this->ForgetMissingPrimaries();
   this->vms = std::exchange(this->loaded_vms, {});
   this->context.vm_count = std::max<int>(1, static_cast<int>(this->vms.size()));
   const auto own = this->vms.find(this->context.settings.vm);
@@ -563,6 +599,14 @@
   }
 }
 
+void StoreLink::ForgetMissingPrimaries() {
+  std::erase_if(this->primary_versions, [this](const auto& entry) {
+    // A row that was written after the first page was read is not missing.
+    return entry.second <= this->fleet_version &&
+           !this->loaded_primaries.contains(entry.first);
+  });
+}
+
 std::set<std::string> StoreLink::VmNames() const {
   std::set<std::string> names;
   for (const auto& [name, row] : this->vms) {
@@ -596,15 +640,32 @@
     const std::vector<platform_adapter::RowExpectation>& expectations,
     const std::vector<platform_adapter::RowWrite>& new_writes,
     std::function<void(const WriteOutcome&)> handler) {
+  std::optional<std::uint64_t> expected_era;
+  for (const auto& expectation : expectations) {
+    // Version 0 stands for a missing row in any era.
+    if (expectation.version > 0) {
+      const std::uint64_t row_era = model::EraOf(expectation.version);
+      expected_era = std::min(expected_era.value_or(row_era), row_era);
+    }
+  }
   this->writes.push_back(
       {platform_adapter::EncodeTransaction(expectations, new_writes),
-       std::move(handler)});
+       expected_era, std::move(handler)});
   if (this->writes.size() == 1) {
     this->SendNextWrite();
   }
 }
 
+bool StoreLink::IsOutdated(const PendingWrite& write) const {
+  return write.expected_era && *write.expected_era < this->Era();
+}
+
 void StoreLink::SendNextWrite() {
+  if (this->IsOutdated(this->writes.front())) {
+    // The versions may have been given out again, to other rows' contents.
+    this->FinishWrite({WriteOutcome::Kind::kConflict, 0});
+    return;
+  }
   HttpCall call;
   call.method = "POST";
   call.target = platform_adapter::kTransactionTarget;
@@ -614,23 +675,28 @@
   this->write_channel.Send(call, [this](const HttpAnswer& answer) {
     this->ObserveEra(answer);
     WriteOutcome outcome;
-    if (answer.status == HttpAnswer::kOk) {
-      const auto rows = platform_adapter::DecodeRows(answer.body);
+    if (answer.status == HttpAnswer::kOk &&
+        !this->IsOutdated(this->writes.front())) {
+      const auto rows = platform_adapter::DecodeRows(answer.body, this->Era());
       outcome.kind =
           rows ? WriteOutcome::Kind::kDone : WriteOutcome::Kind::kUnknown;
       outcome.version = rows ? rows->store_version : 0;
     } else if (answer.status == platform_adapter::kTransactionConflict) {
       outcome.kind = WriteOutcome::Kind::kConflict;
     }
-    const auto handler = std::move(this->writes.front().handler);
-    // The call stays in the queue meanwhile, so a write by the handler waits
-    // for its turn.
-    handler(outcome);
-    this->writes.pop_front();
-    if (!this->writes.empty()) {
-      this->SendNextWrite();
-    }
+    this->FinishWrite(outcome);
   });
 }
 
+void StoreLink::FinishWrite(const WriteOutcome& outcome) {
+  const auto handler = std::move(this->writes.front().handler);
+  // The call stays in the queue meanwhile, so a write by the handler waits for
+  // its turn.
+  handler(outcome);
+  this->writes.pop_front();
+  if (!this->writes.empty()) {
+    this->SendNextWrite();
+  }
+}
+
 }  // namespace laburnumkeel::proxy
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -29,7 +29,7 @@
     // The configuration, an endpoint, an evacuation or a primary changed.
     std::function<void()> on_change;
     // The row of the leader lease was read; `record` is null when there is
-    // none.
+    // none, and `version` then that of the store.
     std::function<void(const promotion::LeaderRecord* record,
                        std::uint64_t version, std::int64_t store_now_ms)>
         on_leader;
@@ -90,7 +90,8 @@
   // Notifies the observers that primaries changed.
   void NotifyChange() { this->observers.on_change(); }
 
-  // Writes rows, with one call at a time.
+  // Writes rows, with one call at a time. A write that expects versions of an
+  // earlier era conflicts at once, within this call.
   void Write(const std::vector<platform_adapter::RowExpectation>& expectations,
              const std::vector<platform_adapter::RowWrite>& new_writes,
              std::function<void(const WriteOutcome&)> handler);
@@ -98,6 +99,9 @@
   // True when both the configuration and the endpoints have been read.
   bool IsComplete() const;
 
+  // The store's era; 0 before its first response.
+  std::uint64_t Era() const { return this->era.value_or(0); }
+
   // Version of the row of a service's primary; 0 when there is none.
   std::uint64_t PrimaryVersion(const std::string& service) const;
 
@@ -124,6 +128,8 @@
     std::unique_ptr<transport::HttpChannel> channel;
     kernel::Instant retry_at;
     kernel::Instant called_at;
+    // The store's era, as known when the call was sent.
+    std::optional<std::uint64_t> called_era;
     std::chrono::milliseconds wait{0};
     // How much older than `read_at` an answer may be that the store held open.
     std::chrono::milliseconds answer_delay{0};
@@ -154,10 +160,13 @@
 
   struct PendingWrite {
     std::string body;
+    // The versions that it expects are of this era; empty when it expects none.
+    std::optional<std::uint64_t> expected_era;
     std::function<void(const WriteOutcome&)> handler;
   };
 
-  // Processes the store's era, which each of its responses contains.
+  // Processes the store's era, which each of its responses contains. In a new
+  // era everything is read again.
   void ObserveEra(const transport::HttpAnswer& answer);
   bool IsDue(const TableReader& reader, kernel::Instant now) const;
   void ReadTable(TableReader& reader, kernel::Instant now);
@@ -191,9 +200,14 @@
   // Returns true when the row changed a primary.
   bool ApplyPrimary(const platform_adapter::StoreRow& row,
                     kernel::Instant sent);
+  // Forgets rows of primaries that a reading of the fleet table did not return.
+  void ForgetMissingPrimaries();
   VmRow OwnRow() const;
   void RegisterVm();
   void SendNextWrite();
+  // True when a write depends on versions that the store no longer has.
+  bool IsOutdated(const PendingWrite& write) const;
+  void FinishWrite(const WriteOutcome& outcome);
 
   ProxyContext& context;
   const Observers observers;
@@ -206,6 +220,9 @@
   bool is_leader = false;
   kernel::Instant fleet_called_at;
   kernel::Instant fleet_read_sent;
+  std::optional<std::uint64_t> fleet_called_era;
+  // The store's version at the first page of the fleet table.
+  std::uint64_t fleet_version = 0;
   // Empty before the first response.
   std::optional<std::uint64_t> era;
   std::int64_t store_clock_ms = 0;
@@ -213,6 +230,8 @@
   std::map<std::string, VmRow> vms;
   // VMs on the pages of the fleet table that were read so far.
   std::map<std::string, VmRow> loaded_vms;
+  // Services whose primary is on those pages.
+  std::set<std::string> loaded_primaries;
   // Endpoints whose row was removed, and since when. They stay in use until
   // kExpiredEndpointGrace has passed.
   std::map<std::string, kernel::Instant> expired_endpoints;
--- a/src/laburnumkeel/promotion/leader_lease.cpp
+++ b/src/laburnumkeel/promotion/leader_lease.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "laburnumkeel/model/store_version.h"
+
 namespace laburnumkeel::promotion {
 
 void LeaderLease::Observe(const LeaderRecord& new_record,
@@ -14,9 +16,16 @@
   const std::chrono::milliseconds age(
       std::max<std::int64_t>(0, store_now_ms - new_record.renewed_at_ms));
   if (new_version == this->version) {
-    this->changed_at = std::min(this->changed_at, now - age);
+    if (!this->is_restored) {
+      this->changed_at = std::min(this->changed_at, now - age);
+    }
+    return;
+  }
+  if (new_record.store_era < model::EraOf(new_version)) {
+    this->ObserveRestored(new_record, new_version, now);
     return;
   }
+  this->is_restored = false;
   this->version = new_version;
   this->record = new_record;
   this->changed_at = now - age;
@@ -25,10 +34,38 @@
   }
 }
 
-void LeaderLease::ObserveAbsent(kernel::Instant now) { this->read_at = now; }
+void LeaderLease::ObserveRestored(const LeaderRecord& restored_record,
+                                  std::uint64_t restored_version,
+                                  kernel::Instant now) {
+  this->is_restored = true;
+  this->version = restored_version;
+  this->changed_at = now;
+  if (!this->record || this->record->token < restored_record.token) {
+    this->record = restored_record;
+    if (restored_record.holder != this->vm) {
+      this->held_until = kernel::Instant();
+    }
+  }
+}
+
+std::uint64_t LeaderLease::NextToken(std::uint64_t store_era) const {
+  constexpr std::uint64_t kTokensPerEra = 1'000'000;
+  const std::uint64_t known = this->record ? this->record->token : 0;
+  return std::max(known, store_era * kTokensPerEra) + 1;
+}
+
+void LeaderLease::ObserveAbsent(std::uint64_t store_version,
+                                kernel::Instant now) {
+  this->read_at = now;
+  const std::uint64_t era = model::EraOf(store_version);
+  if (this->record && model::EraOf(this->version) < era) {
+    this->ObserveRestored(*this->record, model::StoreVersion(era, 0), now);
+  }
+}
 
 void LeaderLease::OnWritten(const LeaderRecord& new_record,
                             std::uint64_t new_version, kernel::Instant sent) {
+  this->is_restored = false;
   this->version = new_version;
   this->record = new_record;
   this->changed_at = sent;
@@ -42,8 +79,9 @@
   if (!was_read_recently || this->IsHeld(now)) {
     return false;
   }
-  if (!this->record || this->record->holder.empty() ||
-      this->record->holder == this->vm) {
+  const bool is_free = !this->record || this->record->holder.empty() ||
+                       this->record->holder == this->vm;
+  if (is_free && !this->is_restored) {
     return true;
   }
   return now >= this->changed_at + kAcquireDelay;
--- a/src/laburnumkeel/promotion/leader_lease.h
+++ b/src/laburnumkeel/promotion/leader_lease.h
@@ -28,6 +28,8 @@
   // Operations of each account's limit that the holder has not granted and
   // that a successor may grant.
   std::map<std::string, std::int64_t> withheld_operations;
+  // Era of the store in which the record was written.
+  std::uint64_t store_era = 0;
 
   bool operator==(const LeaderRecord&) const = default;
 };
@@ -39,6 +41,11 @@
 // the record change or, by the store's clock, after the renewal; the latter
 // also works for a process that has just started. Clock rates of the VMs may
 // differ by a tenth.
+//
+// When the store is restored from a copy, renewals and even holders since the
+// copy are gone. The newest record known to a VM then remains its record, and
+// any VM but the holder waits for `kAcquireDelay` after it learned of the
+// restore.
 class LeaderLease {
  public:
   // Covers store outages of several seconds; bounds, with kAcquireDelay, how
@@ -60,8 +67,8 @@
   void Observe(const LeaderRecord& record, std::uint64_t version,
                std::int64_t store_now_ms, kernel::Instant now);
 
-  // Processes a reading that found no record.
-  void ObserveAbsent(kernel::Instant now);
+  // Processes a reading that found no record; the store was at `store_version`.
+  void ObserveAbsent(std::uint64_t store_version, kernel::Instant now);
 
   // Processes a successful write of `record` by this VM, sent at `sent`.
   void OnWritten(const LeaderRecord& record, std::uint64_t version,
@@ -74,21 +81,35 @@
   // Returns true while no other VM can have acquired the lease.
   bool IsHeld(kernel::Instant now) const { return now < this->held_until; }
 
+  // Returns true while the store holds no record written since it was restored.
+  bool IsRestored() const { return this->is_restored; }
+
   // Time until which this VM holds the leader lease; zero when it does not.
   kernel::Instant HeldUntil() const { return this->held_until; }
 
   // Returns true when, by a recent reading, this VM may write itself as the
   // holder. A restarted process of the same VM need not wait, because its
-  // predecessor has ended.
+  // predecessor has ended, except in a restored store, which may lack another
+  // holder.
   bool MayAcquire(kernel::Instant now) const;
 
+  // Token with which this VM acquires the lease. Each era of the store has its
+  // own tokens, as a restored store may lack holders of the era before.
+  std::uint64_t NextToken(std::uint64_t store_era) const;
+
   const std::optional<LeaderRecord>& Record() const { return this->record; }
   std::uint64_t Version() const { return this->version; }
 
  private:
+  void ObserveRestored(const LeaderRecord& restored_record,
+                       std::uint64_t restored_version, kernel::Instant now);
+
   const std::string vm;
   std::optional<LeaderRecord> record;
+  // The version on which a write depends.
   std::uint64_t version = 0;
+  // The store was restored since the record at `version` was written.
+  bool is_restored = false;
   std::optional<kernel::Instant> read_at;
   kernel::Instant changed_at;
   kernel::Instant held_until;
--- a/src/laburnumkeel/routing/primary_table.cpp
+++ b/src/laburnumkeel/routing/primary_table.cpp
@@ -6,7 +6,8 @@
 
 bool PrimaryTable::Adopt(const PrimaryRecord& record) {
   PrimaryRecord& known = this->records[record.service];
-  if (record.version <= known.version) {
+  if (record.version <= known.version ||
+      (record.IsRestored() && known.version > 0 && record.term <= known.term)) {
     return false;
   }
   if (record.endpoint_id != known.endpoint_id) {
@@ -20,7 +21,7 @@
                            kernel::Instant as_of) {
   const auto known = this->records.find(service);
   if (known == this->records.end() || known->second.version != version ||
-      known->second.is_changing) {
+      known->second.is_changing || known->second.IsRestored()) {
     return;
   }
   kernel::Instant& until = this->read_lease_until[service];
--- a/src/laburnumkeel/routing/primary_table.h
+++ b/src/laburnumkeel/routing/primary_table.h
@@ -9,6 +9,7 @@
 
 #include "laburnumkeel/kernel/clock.h"
 #include "laburnumkeel/model/log_position.h"
+#include "laburnumkeel/model/store_version.h"
 
 namespace laburnumkeel::routing {
 
@@ -22,6 +23,13 @@
   bool is_changing = false;
   // Increases with each publication.
   std::uint64_t version = 0;
+  // Era of the store in which the record was published.
+  std::uint64_t store_era = 0;
+
+  // True when the store was restored since: newer records may be lost.
+  bool IsRestored() const {
+    return this->store_era < model::EraOf(this->version);
+  }
 
   // The check mistakes the 0 of a rewritten comparison for a null pointer.
   // NOLINTNEXTLINE(modernize-use-nullptr)
@@ -41,11 +49,13 @@
   // reads.
   static constexpr std::chrono::milliseconds kReadLeaseLifetime{1500};
 
-  // Replaces the known record if this one is newer; returns whether it is.
+  // Replaces the known record if this one is newer; returns whether it is. A
+  // record of a restored store is newer only in a later term.
   bool Adopt(const PrimaryRecord& record);
 
   // Renews the read lease: at `as_of`, `version` was the newest record of the
-  // service. A record that announces a change gets no lease.
+  // service. A record that announces a change gets no lease, nor does one of a
+  // restored store, which may lack such a record.
   void Confirm(const std::string& service, std::uint64_t version,
                kernel::Instant as_of);
 
--- a/tests/adapter/decoder_fuzz_test.cpp
+++ b/tests/adapter/decoder_fuzz_test.cpp
@@ -68,7 +68,7 @@
       return DecodeConfiguration(value).has_value();
     });
     this->Damage({rows}, [](const std::string& value) {
-      return DecodeRows(value).has_value();
+      return DecodeRows(value, 1).has_value();
     });
   }
 
--- a/tests/adapter/store_codec_test.cpp
+++ b/tests/adapter/store_codec_test.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "laburnumkeel/model/store_version.h"
+
 namespace laburnumkeel::platform_adapter {
 namespace {
 
@@ -23,13 +25,14 @@
     const auto rows = DecodeRows(
         R"({"rows":[{"table":"my","part":"","key":"owner","value":"bm9kZS0x",)"
         R"("row_version":412},{"key":"old","removed":true,"row_version":413}],)"
-        R"("has_more":true,"row_version":530,"current_time_ms":51230})");
+        R"("has_more":true,"row_version":530,"current_time_ms":51230})",
+        2);
     CPPUNIT_ASSERT(rows.has_value());
     CPPUNIT_ASSERT_EQUAL(std::string("node-1"), rows->rows.at(0).value);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{412}, rows->rows.at(0).version);
+    CPPUNIT_ASSERT_EQUAL(model::StoreVersion(2, 412), rows->rows.at(0).version);
     CPPUNIT_ASSERT(rows->rows.at(1).is_removed);
     CPPUNIT_ASSERT(rows->has_more);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{530}, rows->store_version);
+    CPPUNIT_ASSERT_EQUAL(model::StoreVersion(2, 530), rows->store_version);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{51230}, rows->store_now_ms);
   }
 
@@ -37,13 +40,13 @@
   void RejectsMalformedRows() {
     for (const char* body :
          {"", "[", R"({"rows":[{"value":1}]})", R"({"rows":5})"}) {
-      CPPUNIT_ASSERT_MESSAGE(body, !DecodeRows(body));
+      CPPUNIT_ASSERT_MESSAGE(body, !DecodeRows(body, 1));
     }
   }
 
   void EncodesAConditionalWrite() {
-    const auto body = nlohmann::json::parse(
-        EncodeTransaction({{"t", "k", 7}}, {{"t", "k", "node-1"}}));
+    const auto body = nlohmann::json::parse(EncodeTransaction(
+        {{"t", "k", model::StoreVersion(2, 7)}}, {{"t", "k", "node-1"}}));
     CPPUNIT_ASSERT_EQUAL(7, body["expect"][0]["row_version"].get<int>());
     CPPUNIT_ASSERT_EQUAL(std::string("bm9kZS0x"),
                          body["upserts"][0]["value"].get<std::string>());
--- a/tests/promotion/leader_lease_test.cpp
+++ b/tests/promotion/leader_lease_test.cpp
@@ -2,9 +2,12 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "laburnumkeel/model/store_version.h"
+
 namespace laburnumkeel::promotion {
 namespace {
 
+using model::StoreVersion;
 using std::chrono::milliseconds;
 
 class LeaderLeaseTest : public CppUnit::TestFixture {
@@ -18,6 +21,11 @@
   CPPUNIT_TEST(StaleReadingDoesNotShortenTheWait);
   CPPUNIT_TEST(RivalsRecordEndsTheLease);
   CPPUNIT_TEST(RelinquishedLeaseIsNotHeld);
+  CPPUNIT_TEST(RestoredRecordIsNoReasonToAcquire);
+  CPPUNIT_TEST(RestoredRecordDoesNotEndTheLeaseOfItsSuccessor);
+  CPPUNIT_TEST(FormerHolderWaitsInARestoredStore);
+  CPPUNIT_TEST(RecordMissingInARestoredStoreIsWritten);
+  CPPUNIT_TEST(TokenIsNotGivenOutAgainInARestoredStore);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -25,7 +33,7 @@
   void UnreadLeaseIsNotAcquired() {
     LeaderLease lease("b");
     CPPUNIT_ASSERT(!lease.MayAcquire(At(60'000)));
-    lease.ObserveAbsent(At(60'000));
+    lease.ObserveAbsent(1, At(60'000));
     CPPUNIT_ASSERT(lease.MayAcquire(At(60'000)));
   }
 
@@ -111,6 +119,71 @@
     CPPUNIT_ASSERT(!holder.IsHeld(At(11)));
   }
 
+  // Guards against two leaders: the restored record looks long expired, while
+  // the renewals that the copy lacks are still relied on.
+  void RestoredRecordIsNoReasonToAcquire() {
+    LeaderLease holder("a");
+    LeaderLease rival("b");
+    const LeaderRecord record{"a", "10.0.0.1:1", 3, 20'000, {}, {}, 1};
+    holder.OnWritten(record, StoreVersion(1, 50), At(0));
+    rival.Observe(record, StoreVersion(1, 50), 20'000, At(0));
+    const LeaderRecord restored{"a", "10.0.0.1:1", 3, 11'000, {}, {}, 1};
+    for (int ms = 2000; ms < 7700; ms += 100) {
+      rival.Observe(restored, StoreVersion(2, 41), 20'000 + ms, At(ms));
+      CPPUNIT_ASSERT(!(holder.IsHeld(At(ms)) && rival.MayAcquire(At(ms))));
+    }
+    CPPUNIT_ASSERT(rival.MayAcquire(At(7700)));
+  }
+
+  void RestoredRecordDoesNotEndTheLeaseOfItsSuccessor() {
+    LeaderLease holder("b");
+    holder.OnWritten({"b", "10.0.0.2:1", 4, 20'000, {}, {}, 1},
+                     StoreVersion(1, 50), At(0));
+    holder.Observe({"a", "10.0.0.1:1", 3, 11'000, {}, {}, 1},
+                   StoreVersion(2, 41), 22'000, At(2000));
+    CPPUNIT_ASSERT(holder.IsHeld(At(2000)));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, holder.Record()->token);
+    CPPUNIT_ASSERT_EQUAL(StoreVersion(2, 41), holder.Version());
+  }
+
+  // Guards against a VM that takes itself for the holder because the copy lacks
+  // its successor.
+  void FormerHolderWaitsInARestoredStore() {
+    for (const char* holder : {"a", ""}) {
+      LeaderLease lease("a");
+      const LeaderRecord restored{holder, "10.0.0.1:1", 3, 11'000, {}, {}, 1};
+      lease.Observe(restored, StoreVersion(2, 41), 22'000, At(0));
+      CPPUNIT_ASSERT(!lease.MayAcquire(At(0)));
+      lease.Observe(restored, StoreVersion(2, 41), 27'700, At(5700));
+      CPPUNIT_ASSERT(lease.MayAcquire(At(5700)));
+    }
+  }
+
+  // Guards against a lease that nobody can acquire, as every write expects a
+  // row that is gone.
+  void RecordMissingInARestoredStoreIsWritten() {
+    LeaderLease lease("b");
+    lease.Observe({"a", "10.0.0.1:1", 3, 20'000, {}, {}, 1},
+                  StoreVersion(1, 50), 20'000, At(0));
+    lease.ObserveAbsent(StoreVersion(2, 3), At(100));
+    CPPUNIT_ASSERT_EQUAL(StoreVersion(2, 0), lease.Version());
+    lease.ObserveAbsent(StoreVersion(2, 4), At(5700));
+    CPPUNIT_ASSERT(!lease.MayAcquire(At(5700)));
+    CPPUNIT_ASSERT(lease.MayAcquire(At(5800)));
+  }
+
+  // Guards against two holders with one fencing token.
+  void TokenIsNotGivenOutAgainInARestoredStore() {
+    LeaderLease lost("a");
+    const std::uint64_t first = lost.NextToken(1);
+    lost.OnWritten({"a", "10.0.0.1:1", first, 0, {}, {}, 1},
+                   StoreVersion(1, 50), At(0));
+    CPPUNIT_ASSERT_EQUAL(first + 1, lost.NextToken(1));
+    // A VM that has not read the lost record.
+    LeaderLease lease("b");
+    CPPUNIT_ASSERT(lease.NextToken(2) > lost.NextToken(1));
+  }
+
  private:
   static kernel::Instant At(int ms) {
     return kernel::Instant(std::chrono::hours(1) + milliseconds(ms));
--- a/tests/proxy/fleet_rows_test.cpp
+++ b/tests/proxy/fleet_rows_test.cpp
@@ -15,8 +15,8 @@
  public:
   // Guards against a new leader that loses the operations withheld for it.
   void LeaderRecordRoundTrips() {
-    const promotion::LeaderRecord record{"vm-1",   "127.0.0.1:1",   7, 1234,
-                                         {"vm-2"}, {{"account", 5}}};
+    const promotion::LeaderRecord record{"vm-1",   "127.0.0.1:1",    7, 1234,
+                                         {"vm-2"}, {{"account", 5}}, 2};
     CPPUNIT_ASSERT(DecodeLeader(EncodeLeader(record)) == record);
   }
 
--- a/tests/proxy/store_link_test.cpp
+++ b/tests/proxy/store_link_test.cpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "laburnumkeel/model/store_version.h"
 #include "programs/laburnumkeel-proxy/proxy_context.h"
 #include "tests/support/fake_store.h"
 #include "tests/support/narrow_link.h"
@@ -38,6 +39,7 @@
   CPPUNIT_TEST(ChangesMissedDuringARefusalAreReadOverANarrowLink);
   CPPUNIT_TEST(ChangeBelowTheKnownVersionIsReadAfterARestore);
   CPPUNIT_TEST(ChangeAfterARestoreIsReportedToOtherVms);
+  CPPUNIT_TEST(WriteThatExpectsALostVersionConflicts);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -77,7 +79,7 @@
   void DepartureIsCountedFromTheLeadersReadWithoutIt() {
     this->context->clock.Advance(milliseconds(1500));
     const Instant read = this->Now();
-    this->link->OnPeerTableState({0, read}, {1, read});
+    this->link->OnPeerTableState({0, read}, {model::StoreVersion(1, 1), read});
     this->PutEndpoint("a", "draining");
     this->ReadLater();
     CPPUNIT_ASSERT(this->Deadline("a") == read + kDrainBound);
@@ -89,7 +91,8 @@
     const Instant read = this->Now();
     this->PutEndpoint("a", "draining");
     this->context->clock.Advance(milliseconds(500));
-    this->link->OnPeerTableState({0, this->Now()}, {3, this->Now()});
+    this->link->OnPeerTableState({0, this->Now()},
+                                 {model::StoreVersion(1, 3), this->Now()});
     this->ReadLater();
     CPPUNIT_ASSERT(this->Deadline("a") == read + kDrainBound);
   }
@@ -315,6 +318,30 @@
     CPPUNIT_ASSERT(this->link->EndpointRows().version > reported);
   }
 
+  // Guards against a write over another row than the expected one, after the
+  // restored store has given out its version again.
+  void WriteThatExpectsALostVersionConflicts() {
+    StoreLink::WriteOutcome lost;
+    const auto write = [&](std::uint64_t expected_version) {
+      this->link->Write(
+          {{"laburnumkeel", "row", expected_version}},
+          {{"laburnumkeel", "row", "1"}},
+          [&](const StoreLink::WriteOutcome& outcome) { lost = outcome; });
+      this->ReadFleet();
+    };
+    const std::uint64_t copied_version = this->store->Version();
+    write(0);
+    CPPUNIT_ASSERT(lost.kind == StoreLink::WriteOutcome::Kind::kDone);
+    const std::uint64_t lost_version = lost.version;
+    this->store->Restore(copied_version);
+    this->store->Put("laburnumkeel", "row", "of another VM");
+    this->ReadLater();
+    write(lost_version);
+    CPPUNIT_ASSERT(lost.kind == StoreLink::WriteOutcome::Kind::kConflict);
+    CPPUNIT_ASSERT_EQUAL(std::string("\"of another VM\""),
+                         this->store->Value("laburnumkeel", "row"));
+  }
+
  private:
   // Longer than the time after which a VM reads the tables again.
   static constexpr milliseconds kReadInterval{2500};
--- a/tests/routing/primary_table_test.cpp
+++ b/tests/routing/primary_table_test.cpp
@@ -2,9 +2,12 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "laburnumkeel/model/store_version.h"
+
 namespace laburnumkeel::routing {
 namespace {
 
+using model::StoreVersion;
 using std::chrono::milliseconds;
 
 class PrimaryTableTest : public CppUnit::TestFixture {
@@ -15,6 +18,8 @@
   CPPUNIT_TEST(NewPrimaryNeedsItsOwnReadLease);
   CPPUNIT_TEST(OlderRecordChangesNothing);
   CPPUNIT_TEST(LateConfirmationOfAnOlderVersionIsIgnored);
+  CPPUNIT_TEST(RestoredRecordDoesNotReplaceALaterOne);
+  CPPUNIT_TEST(RestoredRecordGetsNoReadLease);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -72,6 +77,31 @@
     CPPUNIT_ASSERT(!this->table.HasReadLease("s", At(1)));
   }
 
+  // Guards against reads from a former primary, and during an announced change,
+  // that the copy does not know of.
+  void RestoredRecordDoesNotReplaceALaterOne() {
+    this->table.Adopt({"s", "b", 2, true, StoreVersion(1, 50), 1});
+    CPPUNIT_ASSERT(
+        !this->table.Adopt({"s", "a", 1, false, StoreVersion(2, 41), 1}));
+    CPPUNIT_ASSERT(
+        !this->table.Adopt({"s", "b", 2, false, StoreVersion(2, 42), 1}));
+    CPPUNIT_ASSERT(this->table.Find("s")->is_changing);
+    CPPUNIT_ASSERT(
+        this->table.Adopt({"s", "b", 2, false, StoreVersion(2, 43), 2}));
+  }
+
+  // Guards against reads from the primary of the copy while its successor
+  // acknowledges commits.
+  void RestoredRecordGetsNoReadLease() {
+    this->table.Adopt({"s", "a", 1, false, StoreVersion(2, 41), 1});
+    this->table.ConfirmAll(StoreVersion(2, 41), At(0));
+    this->table.Confirm("s", StoreVersion(2, 41), At(0));
+    CPPUNIT_ASSERT(!this->table.HasReadLease("s", At(1)));
+    this->table.Adopt({"s", "a", 1, false, StoreVersion(2, 43), 2});
+    this->table.ConfirmAll(StoreVersion(2, 43), At(2));
+    CPPUNIT_ASSERT(this->table.HasReadLease("s", At(3)));
+  }
+
  private:
   static kernel::Instant At(int ms) {
     return kernel::Instant(std::chrono::hours(1) + milliseconds(ms));
