Wait for the end of the session that the test of long lines counts

Cause: LineThatIsTooLongEndsTheSession gave the session 4 ms after the last part of the line. On a busy machine the session had not read 1.25 MB by then. Seen once beside a build. Ruled out: a session that does not end (it does, once it has read the line).

--- a/tests/proxy/client_session_test.cpp
+++ b/tests/proxy/client_session_test.cpp
@@ -87,6 +87,10 @@
     for (int sent = 0; sent < 5 && !this->has_ended; ++sent) {
       this->Send(part);
     }
+    // The session may not have read all of it yet.
+    for (int poll = 0; poll < 500 && !this->has_ended; ++poll) {
+      this->Poll();
+    }
     CPPUNIT_ASSERT(this->has_ended);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, this->RejectedLines());
   }
