Keep departures and rows that a restored store lacks

With a delay, an endpoint that announced its departure after the copy would get statements again, and then the time of a new departure (DRAIN); a new endpoint would count as gone, and an evacuation would end. Cause: the rows of a restored store were taken for the present, although the operators and the databases have yet to write again what the copy lacks. Class: a decision on a list that is not complete. Ruled out: nothing; shown by tests on the stand-in of the store. Change: for 3 s after a VM has learned of a restore, a departure goes on and missing rows change nothing. Then both tables are read in full once more, and what they say holds. Failed try: the table became due to be read in full by the flag that also told how to treat the response under way. How a response is treated is now decided when the call is sent; ChangesUnderWayAreNotTakenForAllRows failed before. Before: DepartureThatTheCopyLacksGoesOn, EndpointThatTheCopyLacksStaysInUse and EvacuationThatTheCopyLacksGoesOn fail. After: they pass.

--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -46,6 +46,9 @@
 // Live endpoints whose row expired during a store outage register again within
 // about 2 s of its end.
 constexpr milliseconds kExpiredEndpointGrace{3000};
+// Operators and databases write again within this time what a restored store
+// lacks.
+constexpr milliseconds kSettleTime{3000};
 
 }  // namespace
 
@@ -77,6 +80,7 @@
 
 void StoreLink::Tick(Instant now, bool new_is_leader) {
   this->is_leader = new_is_leader;
+  this->ReadAgainWhenSettled(now);
   for (TableReader* reader : {&this->operator_rows, &this->endpoint_rows}) {
     if (this->IsDue(*reader, now)) {
       this->ReadTable(*reader, now);
@@ -141,10 +145,22 @@
       reader->loaded_keys.clear();
     }
     this->is_fleet_due = true;
+    this->settles_at = this->context.clock.Now() + kSettleTime;
   }
   this->era = std::max(this->era.value_or(0), new_era);
 }
 
+void StoreLink::ReadAgainWhenSettled(Instant now) {
+  if (this->settles_at == Instant() || now < this->settles_at) {
+    return;
+  }
+  this->settles_at = Instant();
+  for (TableReader* reader : {&this->operator_rows, &this->endpoint_rows}) {
+    reader->is_full_read_due = true;
+    reader->is_due_now = true;
+  }
+}
+
 bool StoreLink::IsDue(const TableReader& reader, Instant now) const {
   if (reader.channel->IsBusy() || now < reader.retry_at) {
     return false;
@@ -155,8 +171,8 @@
   }
   const bool is_between_pages = !reader.load_from.empty();
   const bool is_restored = model::EraOf(reader.version) < this->Era();
-  if (!reader.is_loaded || is_between_pages || is_restored ||
-      reader.peer_state.version > reader.version) {
+  if (!reader.is_loaded || reader.is_due_now || is_between_pages ||
+      is_restored || reader.peer_state.version > reader.version) {
     return true;
   }
   if (this->is_leader) {
@@ -185,7 +201,14 @@
 void StoreLink::ReadTable(TableReader& reader, Instant now) {
   HttpCall call;
   reader.wait = milliseconds(0);
-  if (reader.is_full_read_due) {
+  const bool is_next_page = !reader.load_from.empty();
+  reader.is_reading_in_full = is_next_page || reader.is_full_read_due;
+  if (reader.is_reading_in_full) {
+    if (!is_next_page) {
+      // A full read that becomes due from now on is another one.
+      reader.is_full_read_due = false;
+      reader.is_due_now = false;
+    }
     call.target = platform_adapter::RowsTarget(reader.table, reader.load_from);
   } else {
     if (this->is_leader) {
@@ -243,7 +266,7 @@
     LogEvent(kStoreRegained, {{"table", reader.table},
                               {"failures", failures},
                               {"version", model::VersionText(reader.version)},
-                              {"in_full", reader.is_full_read_due},
+                              {"in_full", reader.is_reading_in_full},
                               {"rows", rows->rows.size()},
                               {"received_bytes", answer.received_bytes}});
     // Rows may have expired and been written again during the outage, so the
@@ -262,17 +285,17 @@
       reader.has_changed = true;
       reader.state.version = std::max(reader.state.version, row.version);
     }
-    if (reader.is_full_read_due) {
+    if (reader.is_reading_in_full) {
       reader.loaded_keys.push_back(row.key);
     }
   }
-  if (reader.is_full_read_due && rows->has_more && !rows->rows.empty()) {
+  if (reader.is_reading_in_full && rows->has_more && !rows->rows.empty()) {
     // The range includes its start, so a NUL is appended to start after the
     // last key.
     reader.load_from = rows->rows.back().key + "%00";
     return;
   }
-  if (reader.is_full_read_due) {
+  if (reader.is_reading_in_full) {
     const bool is_first_of_era =
         model::EraOf(reader.version) < model::EraOf(rows->store_version);
     if (this->ExpireMissingRows(reader) || is_first_of_era) {
@@ -289,7 +312,6 @@
     reader.loaded_keys.clear();
     reader.load_from.clear();
     reader.is_loaded = true;
-    reader.is_full_read_due = false;
   }
   const Instant now = this->context.clock.Now();
   reader.version = std::max(reader.version, reader.first_page_version);
@@ -319,12 +341,13 @@
               {"failures", reader.failures},
               {"version", model::VersionText(reader.version)},
               {"leader_version", model::VersionText(reader.peer_state.version)},
-              {"in_full", reader.is_full_read_due},
+              {"in_full", reader.is_reading_in_full},
               {"elapsed_ms", kernel::ToMilliseconds(now - reader.called_at)},
               {"received_bytes", answer.received_bytes}});
   }
   reader.failure_status = answer.status;
-  reader.is_full_read_due = true;
+  // A page that was not read is requested again.
+  reader.is_full_read_due |= reader.load_from.empty();
   reader.departures->OnStoreFailure(reader.called_at);
   reader.retry_at = now + kRetryDelay;
 }
@@ -392,6 +415,11 @@
   if (!decoded) {
     return known != endpoints.end() && this->ExpireEndpoint(row.key);
   }
+  if (this->IsSettling() &&
+      this->context.endpoint_departures.Contains(row.key)) {
+    // The copy may be older than the departure.
+    decoded->is_draining = true;
+  }
   const bool has_returned = this->expired_endpoints.erase(row.key) > 0;
   if (decoded->is_draining) {
     this->BeginDeparture(row.key, "draining");
@@ -432,6 +460,10 @@
 }
 
 bool StoreLink::ExpireMissingRows(const TableReader& reader) {
+  if (this->IsSettling()) {
+    // The copy may be older than the rows.
+    return false;
+  }
   const auto is_present = [&](const std::string& key) {
     return std::find(reader.loaded_keys.begin(), reader.loaded_keys.end(),
                      key) != reader.loaded_keys.end();
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -139,8 +139,12 @@
     TableState peer_state;
     // All rows are known as of `version`.
     bool is_loaded = false;
-    // The next call reads rows, not changes.
+    // The next call that does not continue a full read starts one.
     bool is_full_read_due = true;
+    // The call under way, or the last one, reads rows.
+    bool is_reading_in_full = false;
+    // The call is due now, however fresh the last reading is.
+    bool is_due_now = false;
     std::uint64_t version = 0;
     // Keys read so far while reading in full.
     std::vector<std::string> loaded_keys;
@@ -168,6 +172,11 @@
   // Processes the store's era, which each of its responses contains. In a new
   // era everything is read again.
   void ObserveEra(const transport::HttpAnswer& answer);
+  // True while rows may be missing or outdated because the store was restored.
+  bool IsSettling() const {
+    return this->context.clock.Now() < this->settles_at;
+  }
+  void ReadAgainWhenSettled(kernel::Instant now);
   bool IsDue(const TableReader& reader, kernel::Instant now) const;
   void ReadTable(TableReader& reader, kernel::Instant now);
   void OnTableRead(TableReader& reader, const transport::HttpAnswer& answer);
@@ -225,6 +234,9 @@
   std::uint64_t fleet_version = 0;
   // Empty before the first response.
   std::optional<std::uint64_t> era;
+  // When the operators and the databases have written again what a restored
+  // store lacks; zero when that is long past.
+  kernel::Instant settles_at;
   std::int64_t store_clock_ms = 0;
   kernel::Instant store_clock_sent;
   std::map<std::string, VmRow> vms;
--- a/tests/proxy/store_link_test.cpp
+++ b/tests/proxy/store_link_test.cpp
@@ -40,6 +40,10 @@
   CPPUNIT_TEST(ChangeBelowTheKnownVersionIsReadAfterARestore);
   CPPUNIT_TEST(ChangeAfterARestoreIsReportedToOtherVms);
   CPPUNIT_TEST(WriteThatExpectsALostVersionConflicts);
+  CPPUNIT_TEST(DepartureThatTheCopyLacksGoesOn);
+  CPPUNIT_TEST(ChangesUnderWayAreNotTakenForAllRows);
+  CPPUNIT_TEST(EndpointThatTheCopyLacksStaysInUse);
+  CPPUNIT_TEST(EvacuationThatTheCopyLacksGoesOn);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -342,6 +346,65 @@
                          this->store->Value("laburnumkeel", "row"));
   }
 
+  // Guards against an endpoint that is used again, and then gets the time of a
+  // new departure, because it announced its departure after the copy.
+  void DepartureThatTheCopyLacksGoesOn() {
+    const std::uint64_t copied_version = this->store->Version();
+    this->PutEndpoint("a", "draining");
+    this->ReadLater();
+    const auto deadline = this->Deadline("a");
+    CPPUNIT_ASSERT(deadline.has_value());
+    this->store->Restore(copied_version);
+    this->ReadLater();
+    CPPUNIT_ASSERT(this->context->endpoints.at("a").is_draining);
+    this->PutEndpoint("a", "draining");
+    this->ReadLater();
+    this->ReadLater();
+    CPPUNIT_ASSERT(this->Deadline("a") == deadline);
+    // Once the databases have had time to register again, the store is right.
+    this->PutEndpoint("a", "ready");
+    this->ReadLater();
+    CPPUNIT_ASSERT(!this->Deadline("a").has_value());
+  }
+
+  // Guards against all endpoints counting as gone because a table became due to
+  // be read in full while its changes were being read.
+  void ChangesUnderWayAreNotTakenForAllRows() {
+    this->store->Restore(this->store->Version());
+    this->ReadLater();
+    this->PutEndpoint("a", "draining");
+    this->context->clock.Advance(kReadInterval);
+    this->link->Tick(this->Now(), true);
+    this->context->clock.Advance(kReadInterval);
+    this->Read();
+    CPPUNIT_ASSERT(this->context->endpoints.at("a").is_draining);
+    CPPUNIT_ASSERT(!this->Deadline("b").has_value());
+  }
+
+  void EndpointThatTheCopyLacksStaysInUse() {
+    const std::uint64_t copied_version = this->store->Version();
+    this->PutEndpoint("c", "ready");
+    this->ReadLater();
+    this->store->Restore(copied_version);
+    this->ReadLater();
+    CPPUNIT_ASSERT(!this->Deadline("c").has_value());
+    this->ReadLater();
+    this->ReadLater();
+    CPPUNIT_ASSERT(this->Deadline("c").has_value());
+  }
+
+  void EvacuationThatTheCopyLacksGoesOn() {
+    const std::uint64_t copied_version = this->store->Version();
+    this->store->Put("op", "evacuate/dc", 1);
+    this->ReadLater();
+    this->store->Restore(copied_version);
+    this->ReadLater();
+    CPPUNIT_ASSERT(this->context->evacuations.Contains("dc"));
+    this->ReadLater();
+    this->ReadLater();
+    CPPUNIT_ASSERT(!this->context->evacuations.Contains("dc"));
+  }
+
  private:
   // Longer than the time after which a VM reads the tables again.
   static constexpr milliseconds kReadInterval{2500};
