--- a/src/laburnumkeel/model/store_version.h
+++ b/src/laburnumkeel/model/store_version.h
@@ -10,14 +10,16 @@
 namespace laburnumkeel::model {
 
 inline constexpr int kVersionNumberBits = 40;
+inline constexpr std::uint64_t kMaximumVersionNumber =
+    (std::uint64_t{1} << kVersionNumberBits) - 1;
+// Versions are sent as signed 64-bit integers.
+inline constexpr std::uint64_t kMaximumEra = (std::uint64_t{1} << 23) - 1;
 
-// The version that the store gave out as `number` in `era`.
+// The version that the store gave out as `number` in `era`, which are at most
+// kMaximumVersionNumber and kMaximumEra.
 constexpr std::uint64_t StoreVersion(std::uint64_t era, std::uint64_t number) {
-  // Versions are sent as signed 64-bit integers.
-  constexpr std::uint64_t kEraMask = (std::uint64_t{1} << 23) - 1;
-  constexpr std::uint64_t kNumberMask =
-      (std::uint64_t{1} << kVersionNumberBits) - 1;
-  return (era & kEraMask) << kVersionNumberBits | (number & kNumberMask);
+  return (era & kMaximumEra) << kVersionNumberBits |
+         (number & kMaximumVersionNumber);
 }
 
 constexpr std::uint64_t EraOf(std::uint64_t version) {
@@ -26,7 +28,7 @@
 
 // The version as the store knows it.
 constexpr std::uint64_t NumberOf(std::uint64_t version) {
-  return version & ((std::uint64_t{1} << kVersionNumberBits) - 1);
+  return version & kMaximumVersionNumber;
 }
 
 // `era.number`, for log lines.
--- a/tests/adapter/store_codec_test.cpp
+++ b/tests/adapter/store_codec_test.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST_SUITE(StoreCodecTest);
   CPPUNIT_TEST(DecodesRows);
   CPPUNIT_TEST(RejectsMalformedRows);
+  CPPUNIT_TEST(UnreadableEraIsNone);
   CPPUNIT_TEST(EncodesAConditionalWrite);
   CPPUNIT_TEST(DecodesAConfiguration);
   CPPUNIT_TEST(UnknownConsistencyIsTheStrictest);
@@ -44,6 +45,16 @@
     }
   }
 
+  // Guards against a table that is read again and again, because no version is
+  // of the era that one damaged header named.
+  void UnreadableEraIsNone() {
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, DecodeEra("7"));
+    for (const char* value :
+         {"", "x", "-1", "8388608", "99999999999999999999"}) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(value, std::uint64_t{0}, DecodeEra(value));
+    }
+  }
+
   void EncodesAConditionalWrite() {
     const auto body = nlohmann::json::parse(EncodeTransaction(
         {{"t", "k", model::StoreVersion(2, 7)}}, {{"t", "k", "node-1"}}));
