Read the fleet table in each era of the store until that succeeds

Cause: after a restore every VM reads the fleet table once, to register again and to learn the versions of the rows that it writes. When that call failed, a VM with a responsive leader did not repeat it, and stayed missing from the list by which limits are divided. The leader tried to publish primaries without the versions it needs, and logged that with each tick until it had them. Change: the fleet table stays due until it was read in the store's era, and primaries are published again after that. Before: VmRegistersAgainInARestoredStore fails without the first condition. After: it passes.

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -286,7 +286,9 @@
 
 void FailoverManager::PublishAfterRestore(const routing::PrimaryRecord& record,
                                           ServiceWatch& watch) {
-  if (record.store_era >= this->store.Era() || watch.is_publishing) {
+  // A write needs the versions of the present era.
+  if (record.store_era >= this->store.Era() || watch.is_publishing ||
+      !this->store.HasReadFleetInEra()) {
     return;
   }
   LogEvent(kPrimaryPublishedAgain,
--- a/programs/laburnumkeel-proxy/failover_manager.h
+++ b/programs/laburnumkeel-proxy/failover_manager.h
@@ -32,8 +32,8 @@
                   std::function<void()> on_released);
 
   // Called with the row of the leader lease as read from the store. `record` is
-  // null when there is none; `store_now_ms` is the store's clock.
-  // In the first case `version` is the one of the store.
+  // null when there is none, and `version` then that of the store;
+  // `store_now_ms` is the store's clock.
   void OnLeaderRow(const promotion::LeaderRecord* record, std::uint64_t version,
                    std::int64_t store_now_ms);
 
--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -524,7 +524,7 @@
   const bool is_leader_responsive =
       !this->is_leader &&
       now < this->context.leader_last_contact + kLeaderSilence;
-  return now >= next && !is_leader_responsive;
+  return now >= next && (!is_leader_responsive || !this->HasReadFleetInEra());
 }
 
 void StoreLink::PollFleet(Instant now) {
@@ -621,6 +621,7 @@
 
 void StoreLink::OnFleetRead(Instant sent) {
   this->fleet_read_sent = sent;
+  this->fleet_read_era = this->era;
   this->ForgetMissingPrimaries();
   this->vms = std::exchange(this->loaded_vms, {});
   this->context.vm_count = std::max<int>(1, static_cast<int>(this->vms.size()));
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -70,6 +70,9 @@
     return this->fleet_read_sent > instant;
   }
 
+  // True when the fleet table was read in the store's present era.
+  bool HasReadFleetInEra() const { return this->fleet_read_era == this->era; }
+
   // Estimate of the store's clock, never too low; 0 before the first response.
   std::int64_t StoreNowMs(kernel::Instant now) const;
 
@@ -229,7 +232,10 @@
   bool is_leader = false;
   kernel::Instant fleet_called_at;
   kernel::Instant fleet_read_sent;
+  // The store's era when the fleet table was last called, and when it was last
+  // read in full.
   std::optional<std::uint64_t> fleet_called_era;
+  std::optional<std::uint64_t> fleet_read_era;
   // The store's version at the first page of the fleet table.
   std::uint64_t fleet_version = 0;
   // Empty before the first response.
--- a/tests/proxy/store_link_test.cpp
+++ b/tests/proxy/store_link_test.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(ChangeBelowTheKnownVersionIsReadAfterARestore);
   CPPUNIT_TEST(ChangeAfterARestoreIsReportedToOtherVms);
   CPPUNIT_TEST(WriteThatExpectsALostVersionConflicts);
+  CPPUNIT_TEST(VmRegistersAgainInARestoredStore);
   CPPUNIT_TEST(DepartureThatTheCopyLacksGoesOn);
   CPPUNIT_TEST(ChangesUnderWayAreNotTakenForAllRows);
   CPPUNIT_TEST(EndpointThatTheCopyLacksStaysInUse);
@@ -346,6 +347,29 @@
                          this->store->Value("laburnumkeel", "row"));
   }
 
+  // Guards against limits that are divided among too few VMs: the copy lacks a
+  // VM, whose first reading after the restore fails while the leader responds.
+  void VmRegistersAgainInARestoredStore() {
+    const auto is_registered = [this] {
+      return !this->store->Value("laburnumkeel", "vm/").empty();
+    };
+    this->ReadFleet();
+    CPPUNIT_ASSERT(is_registered());
+    this->store->Restore(0);
+    CPPUNIT_ASSERT(!is_registered());
+    this->store->Refuse(503);
+    this->ReadLater();
+    for (int step = 0; step < 3; ++step) {
+      this->context->clock.Advance(milliseconds(700));
+      this->context->leader_last_contact = this->Now();
+      this->link->Tick(this->Now(), false);
+      this->context->loop.restart();
+      this->context->loop.run_for(milliseconds(50));
+      this->store->Refuse(std::nullopt);
+    }
+    CPPUNIT_ASSERT(is_registered());
+  }
+
   // Guards against an endpoint that is used again, and then gets the time of a
   // new departure, because it announced its departure after the copy.
   void DepartureThatTheCopyLacksGoesOn() {
