Take nothing about granted limits from a restored lease record

Callers could see: more operations than an account's rate and burst in the seconds after a restore in which the leader was lost too. Cause: the record of the leader lease also tells which VMs hold no share and which operations were withheld. A successor took that from a record that was restored, or from the older one that it still knew, although the lost leader had granted shares, which are valid for 8 s, and withheld operations since. It waits for 5.7 s only. Class: a lease or a position is trusted across a store that went back. Found by reading the change once more. Ruled out: the holder itself, which knows what it granted and publishes it again. Change: on a VM that does not hold the lease, a restored record names no inactive VM and no withheld operation. The successor reserves what any VM may hold, and grants nothing in advance. Before: RestoredRecordTellsNothingOfWhatWasGranted fails. After: it passes.

--- a/src/laburnumkeel/promotion/leader_lease.cpp
+++ b/src/laburnumkeel/promotion/leader_lease.cpp
@@ -46,6 +46,12 @@
       this->held_until = kernel::Instant();
     }
   }
+  if (!this->IsHeld(now)) {
+    // VMs may have got shares, and operations may have been granted, since this
+    // record was written.
+    this->record->inactive_vms.clear();
+    this->record->withheld_operations.clear();
+  }
 }
 
 std::uint64_t LeaderLease::NextToken(std::uint64_t store_era) const {
--- a/src/laburnumkeel/promotion/leader_lease.h
+++ b/src/laburnumkeel/promotion/leader_lease.h
@@ -45,7 +45,7 @@
 // When the store is restored from a copy, renewals and even holders since the
 // copy are gone. The newest record known to a VM then remains its record, and
 // any VM but the holder waits for `kAcquireDelay` after it learned of the
-// restore.
+// restore. What the record says of shares and withheld operations is void.
 class LeaderLease {
  public:
   // Covers store outages of several seconds; bounds, with kAcquireDelay, how
--- a/tests/promotion/leader_lease_test.cpp
+++ b/tests/promotion/leader_lease_test.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(RestoredRecordIsNoReasonToAcquire);
   CPPUNIT_TEST(RestoredRecordDoesNotEndTheLeaseOfItsSuccessor);
   CPPUNIT_TEST(FormerHolderWaitsInARestoredStore);
+  CPPUNIT_TEST(RestoredRecordTellsNothingOfWhatWasGranted);
   CPPUNIT_TEST(RecordMissingInARestoredStoreIsWritten);
   CPPUNIT_TEST(TokenIsNotGivenOutAgainInARestoredStore);
   CPPUNIT_TEST_SUITE_END();
@@ -159,6 +160,29 @@
     }
   }
 
+  // Guards against limits that are granted twice: since the copy, or since this
+  // VM last read the record, VMs got shares and withheld operations were used.
+  void RestoredRecordTellsNothingOfWhatWasGranted() {
+    const LeaderRecord record{"a",         "10.0.0.1:1",     3, 11'000,
+                              {"vm-idle"}, {{"account", 5}}, 1};
+    LeaderLease started("b");
+    started.Observe(record, StoreVersion(2, 41), 22'000, At(0));
+    LeaderLease running("b");
+    running.Observe(record, StoreVersion(1, 40), 11'000, At(0));
+    running.Observe(record, StoreVersion(2, 40), 22'000, At(11'000));
+    LeaderLease missing("b");
+    missing.Observe(record, StoreVersion(1, 40), 11'000, At(0));
+    missing.ObserveAbsent(StoreVersion(2, 3), At(11'000));
+    for (const LeaderLease* lease : {&started, &running, &missing}) {
+      CPPUNIT_ASSERT(lease->Record()->inactive_vms.empty());
+      CPPUNIT_ASSERT(lease->Record()->withheld_operations.empty());
+    }
+    LeaderLease holder("a");
+    holder.OnWritten(record, StoreVersion(1, 50), At(0));
+    holder.Observe(record, StoreVersion(2, 41), 22'000, At(2000));
+    CPPUNIT_ASSERT(!holder.Record()->withheld_operations.empty());
+  }
+
   // Guards against a lease that nobody can acquire, as every write expects a
   // row that is gone.
   void RecordMissingInARestoredStoreIsWritten() {
