Give each guard around a restored store a test that fails without it

Cause: three guards had no test: the holder renews at once, the first reading of an era is reported to the other VMs, and pages of the fleet table from two eras are not combined. Found by taking each guard out. Ruled out: nothing; no logic changes. Change: one test for each.

--- a/tests/proxy/failover_manager_test.cpp
+++ b/tests/proxy/failover_manager_test.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(ReleaseEndsTheChangeUnderWay);
   CPPUNIT_TEST(SmallerVmLetsLargerOnesAcquireFirst);
   CPPUNIT_TEST(LeaderRenewsItsLeaseInARestoredStore);
+  CPPUNIT_TEST(HolderRenewsAtOnceInARestoredStore);
   CPPUNIT_TEST(PrimaryIsPublishedAgainInARestoredStore);
   CPPUNIT_TEST(RestoredPrimaryDoesNotReplaceItsSuccessor);
   CPPUNIT_TEST_SUITE_END();
@@ -161,6 +162,29 @@
     CPPUNIT_ASSERT_EQUAL(std::string("vm"), this->PublishedHolder());
   }
 
+  // Load pattern: all VMs lose power right after a restore. Guards against a
+  // holder that does not know its own record and waits like any other VM.
+  void HolderRenewsAtOnceInARestoredStore() {
+    this->BecomeLeader();
+    const auto published = [this] {
+      return *DecodeLeader(this->store->Value(std::string(kFleetTable),
+                                              std::string(kLeaderKey)));
+    };
+    const auto before = published();
+    for (int step = 0; step < 20 && published() == before; ++step) {
+      this->Step();
+    }
+    CPPUNIT_ASSERT(!(published() == before));
+    // The next renewal is due a whole period later.
+    const std::uint64_t era = published().store_era;
+    this->store->Restore(this->store->Version());
+    this->ReadFleet();
+    this->ReadFleet();
+    this->Step();
+    this->Step();
+    CPPUNIT_ASSERT_EQUAL(era + 1, published().store_era);
+  }
+
   // Guards against VMs that start later and find no primary.
   void PrimaryIsPublishedAgainInARestoredStore() {
     const std::uint64_t copied_version = this->store->Version();
--- a/tests/proxy/store_link_test.cpp
+++ b/tests/proxy/store_link_test.cpp
@@ -40,6 +40,8 @@
   CPPUNIT_TEST(ChangeBelowTheKnownVersionIsReadAfterARestore);
   CPPUNIT_TEST(ChangeAfterARestoreIsReportedToOtherVms);
   CPPUNIT_TEST(WriteThatExpectsALostVersionConflicts);
+  CPPUNIT_TEST(FirstReadingOfAnEraIsReportedToOtherVms);
+  CPPUNIT_TEST(FleetPagesOfTwoErasAreNotCombined);
   CPPUNIT_TEST(VmRegistersAgainInARestoredStore);
   CPPUNIT_TEST(DepartureThatTheCopyLacksGoesOn);
   CPPUNIT_TEST(ChangesUnderWayAreNotTakenForAllRows);
@@ -347,6 +349,43 @@
                          this->store->Value("laburnumkeel", "row"));
   }
 
+  // Guards against VMs that do not read a restored store, because the rows are
+  // the ones that the leader already had.
+  void FirstReadingOfAnEraIsReportedToOtherVms() {
+    const std::uint64_t reported = this->link->EndpointRows().version;
+    this->store->Restore(this->store->Version());
+    this->ReadLater();
+    this->ReadLater();
+    CPPUNIT_ASSERT(this->link->EndpointRows().version > reported);
+  }
+
+  // Guards against a VM that the store no longer knows being counted.
+  void FleetPagesOfTwoErasAreNotCombined() {
+    const auto put = [this](const std::string& vm) {
+      this->store->Put("laburnumkeel", "vm/" + vm,
+                       {{"address", "127.0.0.1:1"}, {"processor_share", 0.1}});
+    };
+    put("b");
+    put("c");
+    put("d");
+    this->ReadFleet();
+    const std::uint64_t copied_version = this->store->Version();
+    put("a");
+    this->store->SetPageSize(1);
+    const int calls = this->store->Calls("laburnumkeel");
+    this->link->ReadFleetSoon();
+    this->link->Tick(this->Now(), false);
+    // The pages of this VM and of "a" have been sent.
+    while (this->store->Calls("laburnumkeel") < calls + 3) {
+      this->context->loop.restart();
+      this->context->loop.run_one_for(milliseconds(20));
+    }
+    this->store->Restore(copied_version);
+    this->context->loop.restart();
+    this->context->loop.run_for(milliseconds(50));
+    CPPUNIT_ASSERT(!this->link->Vms().contains("a"));
+  }
+
   // Guards against limits that are divided among too few VMs: the copy lacks a
   // VM, whose first reading after the restore fails while the leader responds.
   void VmRegistersAgainInARestoredStore() {
