--- a/review/standins/databases.py
+++ b/review/standins/databases.py
@@ -79,11 +79,14 @@
         for writer in list(self.writers):
             reset(writer)
 
-    async def restart(self):
-        """The process starts again at its address, with its log."""
+    async def listen_again(self):
         self.server = await asyncio.start_server(
             self.serve, *self.address, limit=1 << 21
         )
+
+    async def restart(self):
+        """The process starts again at its address, with its log."""
+        await self.listen_again()
         self.is_running = self.reports = True
         self.paused_term = 0
         newest = max(member.term for member in self.group.members.values())
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -14,7 +14,7 @@
 import tomllib
 import uuid
 
-from databases import Database, Group
+from databases import HEARTBEAT_S, Database, Group
 from net import Link, Record, free_port, now
 from platform_api import Promotions, Store, StoreDoor
 
@@ -267,6 +267,8 @@
         self.pause_s = pause_s
         # (time of the answer, statement id)
         self.acknowledged = []
+        # (time sent, whether it was served)
+        self.requests = []
         self.refused = 0
         self.is_over = False
 
@@ -276,6 +278,8 @@
         record = self.deployment.record
         while not self.is_over:
             statement = new_id()
+            sent = now()
+            signature = None
             try:
                 if wire is None:
                     wire = await Wire.open(self.vm, "lepu270")
@@ -297,6 +301,48 @@
                 else:
                     wire.close()
                 wire = None
+            self.requests.append((sent, bool(signature)))
+            await asyncio.sleep(self.pause_s)
+        if wire is not None:
+            wire.close()
+
+
+class Reader:
+    """A client that sends single reads over one VM on one route, and moves to
+    another VM when it cannot connect."""
+
+    def __init__(self, deployment, name, vm, host, pause_s=0.05):
+        self.deployment = deployment
+        self.name = name
+        self.vm = vm
+        self.host = host
+        self.pause_s = pause_s
+        # (time sent, whether it was served)
+        self.requests = []
+        self.is_over = False
+
+    async def run(self):
+        wire = None
+        record = self.deployment.record
+        while not self.is_over:
+            statement = new_id()
+            sent = now()
+            is_served = False
+            try:
+                if wire is None:
+                    wire = await Wire.open(self.vm, self.host)
+                _, signature, error, _ = await wire.query(statement, "READ it1")
+                is_served = bool(signature)
+                record.add(self.name, f"{statement} answered {signature or error}")
+            except (OSError, asyncio.TimeoutError) as failure:
+                record.add(self.name, f"{statement} not answered: {failure}")
+                if wire is None:
+                    vms = self.deployment.vms
+                    self.vm = vms[(vms.index(self.vm) + 1) % len(vms)]
+                else:
+                    wire.close()
+                wire = None
+            self.requests.append((sent, is_served))
             await asyncio.sleep(self.pause_s)
         if wire is not None:
             wire.close()
@@ -379,6 +425,38 @@
         self.record.add(database.id, "is draining")
         self.spawn(self.leave(database, leave_after_s))
 
+    async def lose_power(self, database, new_name, after_s):
+        """A database's machine is without power. The database is back after
+        `after_s` at its address, with its log, under a new id."""
+        self.record.add(database.id, "loses power")
+        for vm in self.vms:
+            vm.database_links[database.id].cut()
+        database.end()
+        await asyncio.sleep(after_s)
+        self.group.members.pop(database.id)
+        back = Database(self.group, new_name, database.zone, database.ip)
+        back.address = database.address
+        back.log = list(database.log)
+        back.items = dict(database.items)
+        back.term = database.term
+        back.role = database.role
+        newest = max(member.term for member in self.group.members.values())
+        if newest > back.term:
+            back.role = "replica"
+        for vm in self.vms:
+            await vm.add_link(back)
+        await back.listen_again()
+        for vm in self.vms:
+            vm.database_links[database.id].heal()
+        self.group.add(back)
+        self.record.add(new_name, f"is back as {back.role} of term {back.term}")
+        self.spawn(self.group.heartbeats(back))
+
+    async def expire(self, name):
+        """An entry is removed after three heartbeat intervals of silence."""
+        await asyncio.sleep(3 * HEARTBEAT_S)
+        self.store.remove("servers", name)
+
     async def leave(self, database, after_s):
         await asyncio.sleep(after_s)
         self.record.add(database.id, "leaves")
--- a/review/standins/net.py
+++ b/review/standins/net.py
@@ -182,6 +182,7 @@
             if writer.can_write_eof():
                 writer.write_eof()
         except (ConnectionError, RuntimeError):
+            await self.is_open.wait()
             reset(writer)
 
     async def hold(self, reader, data):
