--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -6,6 +6,7 @@
 import logging
 import os
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -507,6 +508,7 @@
                     if any(word in line for word in words):
                         self.record.add(vm.name, "log: " + line[-250:])
         self.record.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def main(case, case_folder):
