Review: scripts end every process they started, also when they are told to stop

Cause: only the last process of a VM was kept, and a SIGTERM ended the script alone; the registrations lapsed at the begin of the outage instead of after three heartbeat intervals.

Tried: SIGTERM in the middle of a run of case 5.

Result: it exits with 2 and leaves no process.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -176,6 +176,7 @@
             stdout=self.log,
             stderr=subprocess.STDOUT,
         )
+        self.deployment.processes.append(self.process)
         self.deployment.record.add(self.name, "started")
 
     def signal(self, number):
@@ -359,6 +360,8 @@
         self.group = Group(self.record, self.store, SERVICE)
         self.promotions = Promotions(self.record, {SERVICE: self.group})
         self.vms = []
+        # Every process that this run has started.
+        self.processes = []
         self.tasks = []
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.command = tomllib.load(file)["roles"]["proxy"]["run"].split(" ")
@@ -480,23 +483,26 @@
         return max(self.vms, key=lambda vm: vm.store_door.last_conditional_write)
 
     async def outage(self, length_s):
-        """The store is down; registrations lapse meanwhile."""
+        """The store is down; registrations lapse meanwhile, after three
+        heartbeat intervals of silence."""
         self.record.add("store", "is down")
         self.store.is_up = False
+        await asyncio.sleep(3 * HEARTBEAT_S)
         for table, _, key in list(self.store.rows):
             if table == "servers":
                 self.store.remove(table, key)
-        await asyncio.sleep(length_s)
+        await asyncio.sleep(length_s - 3 * HEARTBEAT_S)
         self.store.is_up = True
         self.record.add("store", "is back")
 
     def stop(self):
         for task in self.tasks:
             task.cancel()
+        for process in self.processes:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
         for vm in self.vms:
-            if vm.process is not None and vm.process.poll() is None:
-                vm.process.kill()
-                vm.process.wait()
             if vm.log:
                 vm.log.close()
         for vm in self.vms:
@@ -515,6 +521,9 @@
     """Runs `case(deployment)`, which returns the breaks that it found."""
 
     async def run():
+        # A run that is told to stop ends its processes too.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         deployment = Deployment(case_folder)
         try:
             await deployment.start()
@@ -532,7 +541,8 @@
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     try:
         code = asyncio.run(asyncio.wait_for(run(), 110))
-    except Exception as failure:  # The case could not run.
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as failure:
+        # The case could not run.
         print(f"not run: {failure!r}", file=sys.stderr)
         code = 2
     # Connections that are still open need no orderly end.
--- a/review/standins/platform_api.py
+++ b/review/standins/platform_api.py
@@ -149,7 +149,6 @@
                 self.last_conditional_write = now()
         return answer
 
-
     def replace_addresses(self, answer):
         for row in answer.get("rows", []):
             link = self.links.get(row["key"])
