Wait for expired registrations before an absent endpoint counts as gone

Cause: registrations expire while the store is down and are back about two seconds after its return. The grace period for this covered only endpoints that the process had seen before. A leader that had just started took the table with one replica for all endpoints, paused that replica, waited for the read leases and promoted it, while the primary and the other replica went on acknowledging commits.

Ruled out by the log of the case: a second leader (one token), read leases that had not expired (1.6 s passed), an old reading (0.2 s before the promotion).

Change: StoreLink tracks since when the table of endpoints was read without a gap. Only a reading from 3 s after that is complete. The replacement of an unregistered primary and the comparison of all replicas require one. A gap of more than two heartbeat intervals (a suspended VM) restarts the grace period of registrations that had expired before it, and an endpoint is removed only on a reading from after its grace period; both were the same conclusion from absence on related paths.

The fixture of FailoverManagerTest moved to tests/support; its endpoints now keep their role and term, and the promotion call is answered.

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -402,7 +402,7 @@
         return;
       }
     }
-    if (!watch.is_publishing) {
+    if (!watch.is_publishing && this->store.AreEndpointsComplete()) {
       this->StartChange(service, watch, false,
                         "the primary is no longer registered", now);
     }
@@ -674,7 +674,8 @@
   }
   view.are_members_current =
       change.all_paused_since &&
-      this->store.EndpointRows().read_at > *change.all_paused_since;
+      this->store.EndpointRows().read_at > *change.all_paused_since &&
+      this->store.AreEndpointsComplete();
   const ChangeMember& former = change.members[view.former];
   if (former.has_answered && !former.is_primary && !change.stepped_down_at) {
     change.stepped_down_at = now;
@@ -701,6 +702,7 @@
                                           change.members.end(), is_silent)},
          {"endpoints_read_ms_ago",
           kernel::ToMilliseconds(now - this->store.EndpointRows().read_at)},
+         {"endpoints_complete", this->store.AreEndpointsComplete()},
          {"elapsed_ms", kernel::ToMilliseconds(now - change.started)}});
   }
   change.last_step = step;
--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -46,6 +46,9 @@
 // Live endpoints whose row expired during a store outage register again within
 // about 2 s of its end.
 constexpr milliseconds kExpiredEndpointGrace{3000};
+// The row of a live endpoint can expire, unseen by this VM, in a longer time
+// without a reading of the table: two heartbeat intervals.
+constexpr milliseconds kMaximumReadGap{2400};
 // Operators and databases write again within this time what a restored store
 // lacks.
 constexpr milliseconds kSettleTime{3000};
@@ -89,13 +92,7 @@
   if (this->IsFleetDue(now)) {
     this->PollFleet(now);
   }
-  const bool is_current =
-      now < std::max(this->endpoint_rows.state.read_at,
-                     this->endpoint_rows.peer_state.read_at) +
-                kEndpointMaxAge;
-  // An endpoint is removed only while the table is current: otherwise this VM
-  // would not see that it has registered again.
-  if (is_current && this->RemoveExpiredEndpoints()) {
+  if (this->RemoveExpiredEndpoints()) {
     this->observers.on_change();
   }
 }
@@ -108,7 +105,7 @@
         std::max(reader.peer_state.version, peer_state.version);
     reader.peer_state.read_at =
         std::max(reader.peer_state.read_at, peer_state.read_at);
-    ConfirmDepartures(reader, peer_state);
+    this->ConfirmCurrent(reader, peer_state);
     if (this->IsDue(reader, now)) {
       this->ReadTable(reader, now);
     }
@@ -117,11 +114,37 @@
   merge(this->endpoint_rows, endpoint_state);
 }
 
-void StoreLink::ConfirmDepartures(const TableReader& reader,
-                                  const TableState& reading) {
-  if (reader.is_loaded && reading.version <= reader.version) {
-    reader.departures->ConfirmComplete(reading.read_at - reader.answer_delay);
+void StoreLink::ConfirmCurrent(const TableReader& reader,
+                               const TableState& reading) {
+  if (!reader.is_loaded || reading.version > reader.version) {
+    return;
+  }
+  reader.departures->ConfirmComplete(reading.read_at - reader.answer_delay);
+  if (&reader != &this->endpoint_rows) {
+    return;
   }
+  const bool is_first = this->endpoints_current_since == Instant();
+  if (is_first ||
+      reading.read_at > this->endpoints_current_as_of + kMaximumReadGap) {
+    this->RestartEndpointGrace();
+  }
+  this->endpoints_current_as_of =
+      std::max(this->endpoints_current_as_of, reading.read_at);
+}
+
+void StoreLink::RestartEndpointGrace() {
+  const Instant now = this->context.clock.Now();
+  this->endpoints_current_since = now;
+  for (auto& [id, since] : this->expired_endpoints) {
+    since = now;
+  }
+}
+
+bool StoreLink::AreEndpointsComplete() const {
+  return this->endpoints_current_since != Instant() &&
+         this->endpoints_current_as_of >=
+             this->endpoints_current_since + kExpiredEndpointGrace &&
+         !this->IsSettling();
 }
 
 void StoreLink::ObserveEra(const HttpAnswer& answer) {
@@ -318,7 +341,7 @@
   // Without a wait the answer may be as old as the call.
   reader.state.read_at =
       reader.wait == milliseconds(0) ? reader.first_page_called_at : now;
-  ConfirmDepartures(reader, reader.state);
+  this->ConfirmCurrent(reader, reader.state);
   if (!this->is_leader) {
     reader.retry_at = now + reader.min_read_interval;
   }
@@ -487,10 +510,11 @@
 }
 
 bool StoreLink::RemoveExpiredEndpoints() {
-  const Instant now = this->context.clock.Now();
   const std::size_t removed =
       std::erase_if(this->expired_endpoints, [&](const auto& entry) {
-        if (now < entry.second + kExpiredEndpointGrace) {
+        // In a reading from before, the endpoint may just not be back yet.
+        if (this->endpoints_current_as_of <
+            entry.second + kExpiredEndpointGrace) {
           return false;
         }
         LogEvent(kEndpointChanged, {{"endpoint", entry.first}, {"gone", true}});
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -70,6 +70,11 @@
     return this->fleet_read_sent > instant;
   }
 
+  // True when every live endpoint is among those of the context: the endpoint
+  // table has been read without a gap for so long that rows which expired
+  // before that are back. False after the start of this process.
+  bool AreEndpointsComplete() const;
+
   // True when the fleet table was read in the store's present era.
   bool HasReadFleetInEra() const { return this->fleet_read_era == this->era; }
 
@@ -184,10 +189,12 @@
   void ReadTable(TableReader& reader, kernel::Instant now);
   void OnTableRead(TableReader& reader, const transport::HttpAnswer& answer);
   void OnReadFailed(TableReader& reader, const transport::HttpAnswer& answer);
-  // Records that the departures are complete as of the reading of a table, by
-  // this or another VM.
-  static void ConfirmDepartures(const TableReader& reader,
-                                const TableState& reading);
+  // Records that this VM knows all rows as of the reading of a table, by this
+  // or another VM.
+  void ConfirmCurrent(const TableReader& reader, const TableState& reading);
+  // Endpoints whose rows expired while the table was not read, or could not be,
+  // get the grace period from now on.
+  void RestartEndpointGrace();
   bool Apply(TableReader& reader, const platform_adapter::StoreRow& row);
   // Each returns true when the row changed the context.
   bool ApplyOperatorRow(const platform_adapter::StoreRow& row);
@@ -250,6 +257,10 @@
   std::map<std::string, VmRow> loaded_vms;
   // Services whose primary is on those pages.
   std::set<std::string> loaded_primaries;
+  // When all endpoints were last known to be current, and since when that has
+  // been so without a gap; zero before the first reading.
+  kernel::Instant endpoints_current_as_of;
+  kernel::Instant endpoints_current_since;
   // Endpoints whose row was removed, and since when. They stay in use until
   // kExpiredEndpointGrace has passed.
   std::map<std::string, kernel::Instant> expired_endpoints;
--- a/tests/proxy/failover_manager_test.cpp
+++ b/tests/proxy/failover_manager_test.cpp
@@ -2,27 +2,15 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <array>
-#include <map>
-#include <memory>
-#include <nlohmann/json.hpp>
 #include <string>
-#include <string_view>
 
 #include "programs/laburnumkeel-proxy/fleet_rows.h"
-#include "tests/support/fake_database.h"
-#include "tests/support/fake_store.h"
+#include "tests/support/failover_manager_fixture.h"
 
 namespace laburnumkeel::proxy {
 namespace {
 
-using std::chrono::milliseconds;
-using testing::FakeDatabase;
-using testing::FakeStore;
-
-// A VM that may lead a fleet with one service: the store, a primary `p` and two
-// replicas on loopback, and a paused clock.
-class FailoverManagerTest : public CppUnit::TestFixture {
+class FailoverManagerTest : public testing::FailoverManagerFixture {
   CPPUNIT_TEST_SUITE(FailoverManagerTest);
   CPPUNIT_TEST(AcquiresAndPublishesThePrimary);
   CPPUNIT_TEST(ReleasedLeaseEndsBeforeTheStoreHasAnswered);
@@ -37,53 +25,6 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void setUp() override {
-    platform_adapter::ProxySettings settings;
-    settings.vm = "vm";
-    settings.data_centre = "dc";
-    settings.region = "region";
-    settings.regions = {{"dc", "region"}};
-    settings.processor_share = 0.25;
-    this->context = std::make_unique<ProxyContext>(settings);
-    this->context->clock.Pause();
-    this->store = std::make_unique<FakeStore>(this->context->loop);
-    this->context->settings.store_address = this->store->Address();
-    // Nobody listens there: promotion calls fail.
-    this->context->settings.promotion_address = testing::FreeAddress();
-    auto configuration = std::make_shared<model::ProxyConfiguration>();
-    configuration->services["s"] = {"s", 20, 0};
-    this->context->configuration = configuration;
-    this->pool = std::make_unique<ServicePool>(*this->context, "s");
-    this->link = std::make_unique<StoreLink>(
-        *this->context,
-        StoreLink::Observers{
-            [this] { this->pool->OnDirectoryChanged(); },
-            [this](const promotion::LeaderRecord* record, std::uint64_t version,
-                   std::int64_t store_now_ms) {
-              this->manager->OnLeaderRow(record, version, store_now_ms);
-            }});
-    this->manager = std::make_unique<FailoverManager>(
-        *this->context, *this->link,
-        [this](const std::string&) -> ServicePool& { return *this->pool; },
-        [] {}, [this] { ++this->releases; });
-    for (const char* id : {"p", "q", "r"}) {
-      this->AddEndpoint(id);
-    }
-    this->manager->SetHandoverSource(
-        [] { return FailoverManager::Handover(); });
-  }
-
-  void tearDown() override {
-    this->manager.reset();
-    this->link.reset();
-    this->pool.reset();
-    for (auto& database : this->databases) {
-      database.reset();
-    }
-    this->store.reset();
-    this->context.reset();
-  }
-
   void AcquiresAndPublishesThePrimary() {
     this->BecomeLeader();
     CPPUNIT_ASSERT_EQUAL(std::string("vm"), this->PublishedHolder());
@@ -219,59 +160,6 @@
   }
 
  private:
-  static constexpr const char* kIds = "pqr";
-
-  void AddEndpoint(const std::string& id) {
-    auto& database = this->databases[std::string(kIds).find(id)];
-    database = std::make_unique<FakeDatabase>(this->context->loop);
-    database->SetScript([this, id](std::string_view line) -> std::string {
-      const bool is_order = line.find("PAUSE") != std::string_view::npos ||
-                            line.find("STEPDOWN") != std::string_view::npos;
-      this->is_paused[id] |= is_order && !this->do_orders_fail;
-      const bool is_primary = id == "p" && !this->is_paused[id];
-      return "DATAROW " + std::string(is_primary ? "primary" : "replica") +
-             " 1 1.5 " + (this->is_paused[id] ? "2" : "0") +
-             " 0 0 1\r\nCOMPLETE -\r\nREADY I 1.5\r\n";
-    });
-    this->PutEndpoint(id, "ready");
-  }
-
-  void PutEndpoint(const std::string& id, const std::string& state) {
-    const auto& database = this->databases[std::string(kIds).find(id)];
-    this->store->Put("servers", id,
-                     {{"service", "s"},
-                      {"address", database->Address()},
-                      {"zone", "dc"},
-                      {"slots", 3},
-                      {"state", state},
-                      {"database_role", id == "p" ? "primary" : "replica"}});
-  }
-
-  void Poll() {
-    this->context->loop.restart();
-    this->context->loop.run_for(milliseconds(10));
-  }
-
-  void ReadFleet() {
-    this->link->ReadFleetSoon();
-    this->link->Tick(this->context->clock.Now(), false);
-    this->Poll();
-  }
-
-  void Step() {
-    this->manager->Tick(this->context->clock.Now());
-    this->Poll();
-    this->context->clock.Advance(milliseconds(100));
-  }
-
-  void BecomeLeader() {
-    for (int step = 0; step < 20; ++step) {
-      this->ReadFleet();
-      this->Step();
-    }
-    CPPUNIT_ASSERT(this->manager->IsLeader());
-  }
-
   // The primary is draining; both replicas are paused or about to be.
   void BeginPlannedChange() {
     this->BecomeLeader();
@@ -283,8 +171,11 @@
     CPPUNIT_ASSERT(this->context->primaries.Find("s")->is_changing);
     CPPUNIT_ASSERT(this->Orders() > 0);
     // Whatever the endpoints answer from now on calls for another order.
-    this->do_orders_fail = true;
-    this->is_paused.clear();
+    for (const char* id : {"p", "q", "r"}) {
+      this->members[id].do_orders_fail = true;
+      this->members[id].paused_term = 0;
+    }
+    this->members["p"].is_primary = true;
   }
 
   // At most the orders that had left before may still arrive, one for each
@@ -302,37 +193,6 @@
     this->context->clock.Advance(milliseconds(750));
     this->manager->Tick(this->context->clock.Now());
   }
-
-  int Orders() const {
-    int orders = 0;
-    for (const auto& database : this->databases) {
-      orders += database->Count("PAUSE") + database->Count("STEPDOWN") +
-                database->Count("RESUME");
-    }
-    return orders;
-  }
-
-  std::string PublishedHolder() {
-    const auto record = DecodeLeader(
-        this->store->Value(std::string(kFleetTable), std::string(kLeaderKey)));
-    return record ? record->holder : "";
-  }
-
-  std::string PublishedPrimary() {
-    const auto record = DecodePrimary(
-        "s", 1, this->store->Value(std::string(kFleetTable), "primary/s"));
-    return record ? record->endpoint_id : "";
-  }
-
-  std::unique_ptr<ProxyContext> context;
-  std::unique_ptr<FakeStore> store;
-  std::array<std::unique_ptr<FakeDatabase>, 3> databases;
-  std::map<std::string, bool> is_paused;
-  bool do_orders_fail = false;
-  std::unique_ptr<ServicePool> pool;
-  std::unique_ptr<StoreLink> link;
-  std::unique_ptr<FailoverManager> manager;
-  int releases = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FailoverManagerTest);
--- a/tests/support/fake_database.h
+++ b/tests/support/fake_database.h
@@ -39,6 +39,9 @@
   // Replaces the responses to all lines except STARTUP.
   void SetScript(Script new_script) { this->script = std::move(new_script); }
 
+  // Responds to no line, not even to STARTUP, or does again.
+  void SetSilent(bool new_is_silent) { this->is_silent = new_is_silent; }
+
   // All received lines, each with the number of its connection.
   const std::vector<std::pair<int, std::string>>& Lines() const {
     return this->lines;
@@ -101,6 +104,9 @@
   }
 
   void Respond(transport::LineStream& stream, std::string_view line) {
+    if (this->is_silent) {
+      return;
+    }
     if (line.starts_with("STARTUP")) {
       stream.Write("READY I 1.5\r\n");
       return;
@@ -120,6 +126,7 @@
   std::vector<std::shared_ptr<transport::LineStream>> streams;
   std::vector<std::pair<int, std::string>> lines;
   bool in_transaction = false;
+  bool is_silent = false;
 };
 
 }  // namespace laburnumkeel::testing
