Publish a primary that restarted under another id in its term

Cause: an endpoint under another id counted as the successor only in a term above the published one. The crashed primary returns under a new id in the published term; the plan took it for a replica and paused it without end, and a primary does not stop receiving when it is paused.

Ruled out by the log of the case: a lost pause of the replicas (both stay paused) and a failing promotion call (none is sent).

Change: another id that is the primary in the published term is published, provided that no replica has a longer log. Any other primary under another id (of an earlier term, or without its log) is asked to step down, and then counts as a replica. Until now its log was also compared like that of a replica when a successor was chosen.

ChangePlanTest::OldPrimaryIsNotPublished expected the published primary to step down while a primary of an earlier term still runs. It now expects that one to step down first, and then the published one: as strict, one step more.

Evidence: PrimaryThatRestartsUnderAnotherIdIsPublished (FailoverManager on stand-ins) and OldPrimaryIsNotPublished, PrimaryThatRestartedUnderAnotherIdIsPublished, RestartedPrimaryWithoutItsLogIsNotPublished and ReturningPrimaryOfAnEarlierTermIsSteppedDown fail with the former plan (trial).

--- a/src/laburnumkeel/promotion/change_plan.cpp
+++ b/src/laburnumkeel/promotion/change_plan.cpp
@@ -62,9 +62,19 @@
   return {ChangeAction::kPromote, member->id};
 }
 
-// The endpoint that a promotion, also one by an earlier leader, has made the
-// primary of a term after the published one; null without one.
-const ChangeMember* FindPromoted(const ChangeView& view) {
+// True when no replica that has responded has a longer log.
+bool HasLongestLog(const ChangeMember& primary, const ChangeView& view) {
+  return std::none_of(view.members.begin(), view.members.end(),
+                      [&](const ChangeMember& member) {
+                        return member.has_answered && !member.is_primary &&
+                               member.received > primary.received;
+                      });
+}
+
+// The endpoint that is the primary in place of the former one: a promotion,
+// also one by an earlier leader, has made it the primary of a later term, or
+// the former primary has restarted under another id. Null without one.
+const ChangeMember* FindSuccessor(const ChangeView& view) {
   const ChangeMember* newest = nullptr;
   for (const ChangeMember& member : view.members) {
     if (member.has_answered && member.is_primary &&
@@ -75,11 +85,28 @@
   if (newest == nullptr) {
     return nullptr;
   }
-  // The former primary is promoted again only by this change.
-  const bool is_promoted = newest->id == view.former
-                               ? newest->term >= view.next_term
-                               : newest->term > view.published_term;
-  return is_promoted ? newest : nullptr;
+  if (newest->id == view.former) {
+    // The former primary is promoted again only by this change.
+    return newest->term >= view.next_term ? newest : nullptr;
+  }
+  // A term has one primary, so another id in the published term is the former
+  // primary, unless it has lost its log.
+  const bool has_restarted =
+      newest->term == view.published_term && HasLongestLog(*newest, view);
+  return has_restarted || newest->term > view.published_term ? newest : nullptr;
+}
+
+// A primary that must not accept commits any more: one of an earlier term,
+// which has not heard of its successor, or one that has lost its log. A primary
+// does not stop receiving when it is paused. Null without one.
+const ChangeMember* FindStalePrimary(const ChangeView& view) {
+  const auto found = std::find_if(view.members.begin(), view.members.end(),
+                                  [&](const ChangeMember& member) {
+                                    return member.id != view.former &&
+                                           member.has_answered &&
+                                           member.is_primary;
+                                  });
+  return found == view.members.end() ? nullptr : &*found;
 }
 
 // Pauses every replica, and promotes the one with the longest log.
@@ -163,8 +190,11 @@
 }
 
 ChangeStep NextStep(const ChangeView& view) {
-  if (const ChangeMember* promoted = FindPromoted(view)) {
-    return {ChangeAction::kPublish, promoted->id};
+  if (const ChangeMember* successor = FindSuccessor(view)) {
+    return {ChangeAction::kPublish, successor->id};
+  }
+  if (const ChangeMember* stale = FindStalePrimary(view)) {
+    return {ChangeAction::kStepDown, stale->id};
   }
   const ChangeMember* former = FindFormer(view);
   if (former == nullptr || !former->has_answered) {
--- a/src/laburnumkeel/promotion/change_plan.h
+++ b/src/laburnumkeel/promotion/change_plan.h
@@ -59,11 +59,12 @@
   kPause,
   // Let the endpoint receive again.
   kResume,
-  // Make the former primary a replica, so that it accepts no further commit.
+  // Make the former primary, or one of an earlier term, a replica, so that it
+  // accepts no further commit.
   kStepDown,
   // Ask the platform to make the endpoint the primary.
   kPromote,
-  // The endpoint is the primary of the new term: publish it.
+  // The endpoint is the primary in place of the former one: publish it.
   kPublish,
 };
 
--- a/tests/promotion/change_plan_test.cpp
+++ b/tests/promotion/change_plan_test.cpp
@@ -115,6 +115,9 @@
   CPPUNIT_TEST(PublishesAnInheritedPromotion);
   CPPUNIT_TEST(PublishesAPromotionOfATermThatIsKnown);
   CPPUNIT_TEST(OldPrimaryIsNotPublished);
+  CPPUNIT_TEST(PrimaryThatRestartedUnderAnotherIdIsPublished);
+  CPPUNIT_TEST(RestartedPrimaryWithoutItsLogIsNotPublished);
+  CPPUNIT_TEST(ReturningPrimaryOfAnEarlierTermIsSteppedDown);
   CPPUNIT_TEST(NoAcknowledgedCommitIsLostAfterACrash);
   CPPUNIT_TEST(NoAcknowledgedCommitIsLostInAPlannedChange);
   CPPUNIT_TEST_SUITE_END();
@@ -245,10 +248,46 @@
     view.next_term = 3;
     view.members[0].is_primary = true;
     view.members[2].term = 2;
+    CPPUNIT_ASSERT(
+        (NextStep(view) == ChangeStep{ChangeAction::kStepDown, "a"}));
+    view.members[0].is_primary = false;
     CPPUNIT_ASSERT(
         (NextStep(view) == ChangeStep{ChangeAction::kStepDown, "c"}));
   }
 
+  // Guards against a change that pauses the returned primary without end.
+  void PrimaryThatRestartedUnderAnotherIdIsPublished() {
+    ChangeView view = RestartedView();
+    CPPUNIT_ASSERT((NextStep(view) == ChangeStep{ChangeAction::kPublish, "d"}));
+    // Its former registration has not expired yet.
+    view.members.push_back({"c", false, false, 0, {}, 0, true});
+    CPPUNIT_ASSERT((NextStep(view) == ChangeStep{ChangeAction::kPublish, "d"}));
+  }
+
+  // Guards against lost commits of a primary that returns without its log.
+  void RestartedPrimaryWithoutItsLogIsNotPublished() {
+    ChangeView view = RestartedView();
+    view.members[2].received = {0, 0};
+    CPPUNIT_ASSERT(
+        (NextStep(view) == ChangeStep{ChangeAction::kStepDown, "d"}));
+  }
+
+  // Guards against a change that pauses a primary of an earlier term without
+  // end. The published one is lost.
+  void ReturningPrimaryOfAnEarlierTermIsSteppedDown() {
+    ChangeView view = RestartedView();
+    view.published_term = 2;
+    view.next_term = 3;
+    CPPUNIT_ASSERT(
+        (NextStep(view) == ChangeStep{ChangeAction::kStepDown, "d"}));
+    view.members[2].is_primary = false;
+    for (ChangeMember& member : view.members) {
+      member.paused_term = 3;
+    }
+    view.members[1].received = {2, 8};
+    CPPUNIT_ASSERT((NextStep(view) == ChangeStep{ChangeAction::kPromote, "b"}));
+  }
+
   void NoAcknowledgedCommitIsLostAfterACrash() { this->RunSeeds(false); }
   void NoAcknowledgedCommitIsLostInAPlannedChange() { this->RunSeeds(true); }
 
@@ -266,6 +305,15 @@
     return view;
   }
 
+  // Two paused replicas `a` and `b`. The primary of the published term has
+  // restarted under another id, `d`.
+  static ChangeView RestartedView() {
+    ChangeView view = CrashedView(7, 6);
+    view.published_term = 1;
+    view.members[2] = {"d", true, true, 1, {1, 7}, 0, true};
+    return view;
+  }
+
   // Two replicas `a` and `b` that receive, and a primary `c` at position 7 that
   // was at 6 before.
   static ChangeView PlannedView(std::uint64_t first, std::uint64_t second) {
--- a/tests/proxy/failover_manager_test.cpp
+++ b/tests/proxy/failover_manager_test.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(HolderRenewsAtOnceInARestoredStore);
   CPPUNIT_TEST(PrimaryIsPublishedAgainInARestoredStore);
   CPPUNIT_TEST(RestoredPrimaryDoesNotReplaceItsSuccessor);
+  CPPUNIT_TEST(PrimaryThatRestartsUnderAnotherIdIsPublished);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -159,6 +160,31 @@
     CPPUNIT_ASSERT_EQUAL(std::string("q"), primary->endpoint_id);
   }
 
+  // Load pattern: the primary crashes for a moment and returns under another
+  // id, with its log, while both replicas are paused. Guards against a change
+  // of primary that never ends.
+  void PrimaryThatRestartsUnderAnotherIdIsPublished() {
+    this->store->Put(std::string(kFleetTable), "primary/s",
+                     {{"endpoint", "p"}, {"term", 1}, {"changing", false}});
+    this->BecomeLeader();
+    this->databases["p"]->SetSilent(true);
+    for (int step = 0; step < 50 && this->members["r"].paused_term == 0;
+         ++step) {
+      this->Run(milliseconds(100));
+    }
+    CPPUNIT_ASSERT(this->members["q"].paused_term > 0);
+    CPPUNIT_ASSERT(this->members["r"].paused_term > 0);
+    this->members["t"].is_primary = true;
+    this->AddEndpoint("t");
+    this->store->Remove("servers", "p");
+    this->Run(milliseconds(3000));
+    CPPUNIT_ASSERT_EQUAL(std::string("t"), this->PublishedPrimary());
+    CPPUNIT_ASSERT(!this->PublishedRecord()->is_changing);
+    CPPUNIT_ASSERT_EQUAL(0, this->members["q"].paused_term);
+    CPPUNIT_ASSERT_EQUAL(0, this->members["r"].paused_term);
+    CPPUNIT_ASSERT(this->promotion_calls.empty());
+  }
+
  private:
   // The primary is draining; both replicas are paused or about to be.
   void BeginPlannedChange() {
