Do not promote a log that lacks commits known to be acknowledged

Cause: the logs of the registered endpoints were compared with each other only. A replica that drains counts for acknowledgements until it is gone; once it had left, nothing told that the remaining replica, which had received nothing for a while, lacks what it had acknowledged. The primary crashed, and the remaining replica was promoted seconds before the primary was back with its log.

Ruled out by the log: an outdated table of endpoints (read 50 ms before the promotion) and a lost pause (the log of the replica did not grow).

Change: each VM keeps a lower bound of the acknowledged position of a service, from its clients' commits and, on the leader, from the positions of replicas. During a change VMs report it to the leader. A shorter log is not promoted for 9 s, in which the crashed primary may return; then the change goes on and logs commits_missing.

Weighed: the primary's own last position as the bound. It may cover commits that no replica has received, so that each crash of a busy primary would cost 9 s. Waiting without end: a service whose primary is lost for good would stay without one.

Only suspected: that the users saw this one.

--- a/programs/laburnumkeel-proxy/client_session.cpp
+++ b/programs/laburnumkeel-proxy/client_session.cpp
@@ -459,6 +459,9 @@
   next->deadline = next->arrived + this->route.statement_timeout;
   next->opens_transaction = in_transaction && !this->transaction_connection;
   next->is_read_only_transaction = this->is_read_only_transaction;
+  const bool is_commit = statement.kind == StatementKind::kCommit;
+  next->commits_write =
+      in_transaction ? is_commit && this->has_transaction_written : is_write;
   const bool may_use_replica =
       this->route.consistency != model::ReadConsistency::kPrimary &&
       (in_transaction ? this->is_read_only_transaction : !is_write);
@@ -502,9 +505,7 @@
   this->transaction_connection = result.connection;
   if (has_succeeded) {
     this->has_transaction_written |= in_transaction && is_write;
-    const bool commits_write = (is_commit && this->has_transaction_written) ||
-                               (!in_transaction && is_write);
-    if (commits_write && result.reply->position) {
+    if (finished.commits_write && result.reply->position) {
       this->last_committed = this->environment.context.clock.Now();
       this->last_commit = this->last_commit ? std::max(*this->last_commit,
                                                        *result.reply->position)
--- a/programs/laburnumkeel-proxy/events.h
+++ b/programs/laburnumkeel-proxy/events.h
@@ -78,6 +78,10 @@
 inline constexpr EventDefinition kChangeStep{
     6524, Severity::kInformation, "change_step",
     "a step of a change of primary was performed"};
+inline constexpr EventDefinition kCommitsMissing{
+    6529, Severity::kError, "commits_missing",
+    "an endpoint is promoted that lacks commits which may have been "
+    "acknowledged, as no endpoint with them has returned in time"};
 inline constexpr EventDefinition kChangeEnded{
     6525, Severity::kInformation, "change_ended", "a change of primary ended"};
 inline constexpr EventDefinition kStatementRefused{
@@ -149,6 +153,7 @@
                                     kDutyLost,
                                     kChangeStarted,
                                     kChangeStep,
+                                    kCommitsMissing,
                                     kChangeEnded,
                                     kStatementRefused,
                                     kSessionRefused,
--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -33,6 +33,10 @@
 // An announced change that cannot proceed is cancelled after this time.
 constexpr milliseconds kCancelTimeout{2500};
 constexpr milliseconds kReplicaQueryPeriod{800};
+// A crashed primary comes back with its log within several seconds. With the
+// time until the change has started, well below the 14 s within which it has to
+// be over.
+constexpr milliseconds kCommitWaitTimeout{9000};
 constexpr milliseconds kMemberQueryPeriod{100};
 // Log entries that the former primary had sent when it stepped down arrive
 // within this time; covers round trips between regions.
@@ -50,6 +54,19 @@
 // call.
 constexpr milliseconds kPromotionRetryDelay{700};
 
+std::string PositionText(const model::LogPosition& position) {
+  return std::to_string(position.term) + "." +
+         std::to_string(position.position);
+}
+
+// The end of an endpoint's log; zero while that is not known.
+model::LogPosition ReceivedBy(const ServiceChange& change,
+                              const std::string& endpoint_id) {
+  const auto found = change.members.find(endpoint_id);
+  return found == change.members.end() ? model::LogPosition()
+                                       : found->second.received;
+}
+
 }  // namespace
 
 FailoverManager::FailoverManager(
@@ -524,9 +541,23 @@
   member.received = state->received;
   member.paused_term = state->paused_term;
   watch->term = std::max(watch->term, state->term);
+  this->ObserveReplica(service, endpoint_id, *state);
   this->AdvanceChange(service, *watch, now);
 }
 
+void FailoverManager::ObserveReplica(
+    const std::string& service, const std::string& endpoint_id,
+    const platform_adapter::EndpointState& state) {
+  const routing::PrimaryRecord* record = this->context.primaries.Find(service);
+  // A former primary may hold commits that no replica has received, and a
+  // replica that has not joined the term may be ahead of the primary.
+  if (record == nullptr || record->endpoint_id == endpoint_id ||
+      state.is_primary || state.term < record->term) {
+    return;
+  }
+  this->find_pool(service).ObserveCommitted(state.received);
+}
+
 bool FailoverManager::ReviewCancellableChange(const std::string& service,
                                               ServiceWatch& watch,
                                               Instant now) {
@@ -605,6 +636,7 @@
           if (state) {
             this->find_pool(service).SetLag(id, state->lag,
                                             this->context.clock.Now());
+            this->ObserveReplica(service, id, *state);
           }
         });
   }
@@ -649,7 +681,7 @@
   if (view.next_term == 0) {
     return;
   }
-  this->UpdateProofs(change, view, now);
+  this->UpdateProofs(service, change, view, now);
   const ChangeStep step = promotion::NextStep(view);
   const bool touches_replica = step.action == ChangeAction::kPause ||
                                step.action == ChangeAction::kResume;
@@ -660,7 +692,8 @@
   this->PerformStep(service, watch, step, now);
 }
 
-void FailoverManager::UpdateProofs(ServiceChange& change,
+void FailoverManager::UpdateProofs(const std::string& service,
+                                   ServiceChange& change,
                                    promotion::ChangeView& view, Instant now) {
   const bool are_all_paused = std::all_of(
       view.members.begin(), view.members.end(), [&](const auto& member) {
@@ -676,6 +709,8 @@
       change.all_paused_since &&
       this->store.EndpointRows().read_at > *change.all_paused_since &&
       this->store.AreEndpointsComplete();
+  view.committed = this->find_pool(service).Committed();
+  view.is_commit_wait_over = now >= change.started + kCommitWaitTimeout;
   const ChangeMember& former = change.members[view.former];
   if (former.has_answered && !former.is_primary && !change.stepped_down_at) {
     change.stepped_down_at = now;
@@ -698,6 +733,8 @@
          {"action", ToString(step.action)},
          {"endpoint", step.endpoint},
          {"term", change.next_term},
+         {"received", PositionText(ReceivedBy(change, step.endpoint))},
+         {"committed", PositionText(this->find_pool(service).Committed())},
          {"silent_members", std::count_if(change.members.begin(),
                                           change.members.end(), is_silent)},
          {"endpoints_read_ms_ago",
@@ -753,6 +790,14 @@
       now < change.promotion_retry_at) {
     return;
   }
+  const model::LogPosition committed = this->find_pool(service).Committed();
+  const model::LogPosition received = ReceivedBy(change, endpoint_id);
+  if (received < committed && change.promotion_target.empty()) {
+    LogEvent(kCommitsMissing, {{"service", service},
+                               {"endpoint", endpoint_id},
+                               {"received", PositionText(received)},
+                               {"committed", PositionText(committed)}});
+  }
   change.promotion_target = endpoint_id;
   change.is_promotion_pending = true;
   auto& channel = this->channels[service];
--- a/programs/laburnumkeel-proxy/failover_manager.h
+++ b/programs/laburnumkeel-proxy/failover_manager.h
@@ -115,9 +115,13 @@
                    const std::string& text);
   void OnMemberReply(const std::string& service, const std::string& endpoint_id,
                      const std::optional<statements::EndpointReply>& reply);
+  // Notes which commits a replica holds.
+  void ObserveReplica(const std::string& service,
+                      const std::string& endpoint_id,
+                      const platform_adapter::EndpointState& state);
   // Adds to the view what it takes to know that no commit is missing.
-  void UpdateProofs(ServiceChange& change, promotion::ChangeView& view,
-                    kernel::Instant now);
+  void UpdateProofs(const std::string& service, ServiceChange& change,
+                    promotion::ChangeView& view, kernel::Instant now);
   void PerformStep(const std::string& service, ServiceWatch& watch,
                    const promotion::ChangeStep& step, kernel::Instant now);
   void Promote(const std::string& service, ServiceWatch& watch,
--- a/programs/laburnumkeel-proxy/fleet_exchange.cpp
+++ b/programs/laburnumkeel-proxy/fleet_exchange.cpp
@@ -170,10 +170,22 @@
     this->reporters.erase(report.vm);
     return;
   }
+  this->ObserveCommitted(report);
   this->reporters[report.vm] = received.sender;
   this->Send(peer::Encode(this->MakeResponse(report)), received.sender);
 }
 
+void FleetExchange::ObserveCommitted(const peer::FleetReport& report) {
+  for (const auto& [service, position] : report.committed) {
+    const routing::PrimaryRecord* record =
+        this->context.primaries.Find(service);
+    // A VM that does not know the newest record may speak of an earlier term.
+    if (record != nullptr && report.primaries_version >= record->version) {
+      this->find_pool(service).ObserveCommitted(position);
+    }
+  }
+}
+
 peer::FleetResponse FleetExchange::MakeResponse(
     const peer::FleetReport& report) {
   const Instant now = this->context.clock.Now();
@@ -301,6 +313,8 @@
   }
   if (has_changed) {
     this->store.NotifyChange();
+    // The leader needs to know soon which commits were acknowledged.
+    this->ReportSoon();
   }
 }
 
@@ -309,6 +323,12 @@
   report.vm = this->context.settings.vm;
   report.sequence = ++this->sequence;
   report.primaries_version = this->context.primaries.NewestVersion();
+  for (const auto& [service, record] : this->context.primaries.Records()) {
+    const model::LogPosition committed = this->find_pool(service).Committed();
+    if (record.is_changing && committed > model::LogPosition()) {
+      report.committed[service] = committed;
+    }
+  }
   report.is_partial = now < this->last_full_report + kReportPeriod;
   if (report.is_partial) {
     report.accounts = this->gate.ReportWaiting(now);
--- a/programs/laburnumkeel-proxy/fleet_exchange.h
+++ b/programs/laburnumkeel-proxy/fleet_exchange.h
@@ -77,6 +77,8 @@
   void OnDatagram(std::string_view bytes);
   void AnswerReports();
   void OnReport(const ReceivedReport& received);
+  // Notes on the leader which commits clients of another VM were told of.
+  void ObserveCommitted(const peer::FleetReport& report);
   void OnAnnouncement(const peer::FleetResponse& announcement);
   Leader CurrentLeader() const;
   void OnResponse(const peer::FleetResponse& response);
--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -662,6 +662,9 @@
                        : job->statement.id,
       text, read_after);
   job->is_sent = true;
+  if (this->IsPrimary(job->endpoint_id)) {
+    job->position_before = this->primary_position;
+  }
   ++job->attempts;
   if (!job->opens_transaction) {
     job->attempt_started = now;
@@ -694,6 +697,41 @@
   if (reply.position && job.had_read_lease) {
     this->samples.Add(*reply.position, job.attempt_started);
   }
+  this->RecordPosition(job, reply);
+}
+
+void ServicePool::RecordPosition(const StatementJob& job,
+                                 const EndpointReply& reply) {
+  const routing::PrimaryRecord* record =
+      this->context.primaries.Find(this->service);
+  if (!reply.position || record == nullptr ||
+      record->endpoint_id != job.endpoint_id) {
+    return;
+  }
+  if (record->term != this->primary_term) {
+    this->primary_term = record->term;
+    this->primary_position.reset();
+  }
+  this->primary_position = std::max(
+      this->primary_position.value_or(*reply.position), *reply.position);
+  if (job.commits_write && reply.signature && job.position_before) {
+    // The commit's own position is not told. It is after all that were known
+    // before, while the one in the reply may cover later commits.
+    this->ObserveCommitted(
+        {job.position_before->term, job.position_before->position + 1});
+  }
+}
+
+void ServicePool::ObserveCommitted(const model::LogPosition& position) {
+  if (const auto* record = this->context.primaries.Find(this->service)) {
+    this->committed.Observe(record->term, position);
+  }
+}
+
+model::LogPosition ServicePool::Committed() const {
+  const auto* record = this->context.primaries.Find(this->service);
+  return record == nullptr ? model::LogPosition()
+                           : this->committed.Find(record->term);
 }
 
 void ServicePool::OnReply(const JobPointer& job,
--- a/programs/laburnumkeel-proxy/service_pool.h
+++ b/programs/laburnumkeel-proxy/service_pool.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "laburnumkeel/routing/committed_position.h"
 #include "laburnumkeel/routing/position_samples.h"
 #include "programs/laburnumkeel-proxy/endpoint_connection.h"
 #include "programs/laburnumkeel-proxy/proxy_context.h"
@@ -63,6 +64,12 @@
     return this->samples.Newest();
   }
 
+  // Processes a log position up to which commits may have been acknowledged.
+  void ObserveCommitted(const model::LogPosition& position);
+  // The highest such position since the present primary was published; zero
+  // when none is known.
+  model::LogPosition Committed() const;
+
   // Sets the replication lag of an endpoint as measured at `as_of`.
   void SetLag(const std::string& endpoint_id, std::chrono::milliseconds lag,
               kernel::Instant as_of);
@@ -175,6 +182,9 @@
   void OnRefused(const JobPointer& job, const statements::EndpointReply& reply);
   void RecordReply(const StatementJob& job,
                    const statements::EndpointReply& reply);
+  // Notes the primary's log position, and what a successful commit says of it.
+  void RecordPosition(const StatementJob& job,
+                      const statements::EndpointReply& reply);
 
   // True when a refused statement should be sent again on its connection.
   bool CanResend(const StatementJob& job,
@@ -204,6 +214,11 @@
   const std::string service;
   std::map<std::string, Endpoint> endpoints;
   routing::PositionSamples samples;
+  routing::CommittedPosition committed;
+  // The newest position that the primary has reported, and its term as
+  // published.
+  std::optional<model::LogPosition> primary_position;
+  model::Term primary_term = 0;
   std::vector<JobPointer> jobs;
   kernel::Instant last_used;
   // Version of the primary's record, and when this VM adopted it.
--- a/programs/laburnumkeel-proxy/statement_job.h
+++ b/programs/laburnumkeel-proxy/statement_job.h
@@ -57,6 +57,8 @@
   kernel::Instant session_committed;
   kernel::Instant arrived;
   kernel::Instant deadline;
+  // With success, the statement commits a write.
+  bool commits_write = false;
   // The proxy opens a transaction before it sends the statement.
   bool opens_transaction = false;
   bool is_read_only_transaction = false;
@@ -74,6 +76,8 @@
   bool is_waiting_for_connection = false;
   // The client's statement has been sent to the endpoint.
   bool is_sent = false;
+  // Newest known position of the primary's log when the statement was sent.
+  std::optional<model::LogPosition> position_before;
   // This VM had a read lease on the endpoint when the statement was sent.
   bool had_read_lease = false;
   // The statement continues a transaction on `connection`.
--- a/src/laburnumkeel/peer/fleet_message.cpp
+++ b/src/laburnumkeel/peer/fleet_message.cpp
@@ -103,6 +103,13 @@
     entry.wanted = account.waiting_operations;
     wire.accounts.push_back(std::move(entry));
   }
+  for (const auto& [service, position] : report.committed) {
+    generated::WireCommitted entry;
+    entry.database_service = service;
+    entry.term = static_cast<std::int64_t>(position.term);
+    entry.position = static_cast<std::int64_t>(position.position);
+    wire.committed.push_back(std::move(entry));
+  }
   return Serialize(kReportTag, wire);
 }
 
@@ -169,6 +176,11 @@
         {FromWire(entry.held_rate), FromWire(entry.held_burst)},
         entry.wanted};
   }
+  for (const auto& entry : wire->committed) {
+    report.committed[entry.database_service] = {
+        static_cast<model::Term>(entry.term),
+        static_cast<std::uint64_t>(entry.position)};
+  }
   return report;
 }
 
--- a/src/laburnumkeel/peer/fleet_message.h
+++ b/src/laburnumkeel/peer/fleet_message.h
@@ -30,6 +30,9 @@
   bool is_partial = false;
   // The VM stops and uses none of its shares any more.
   bool is_leaving = false;
+  // Positions up to which commits may have been acknowledged, for services
+  // whose primary is being changed.
+  std::map<std::string, model::LogPosition> committed{};
 
   bool operator==(const FleetReport&) const = default;
 };
--- a/src/laburnumkeel/peer/idl/fleet.thrift
+++ b/src/laburnumkeel/peer/idl/fleet.thrift
@@ -13,6 +13,13 @@
   5: i32 wanted,
 }
 
+// A position up to which commits of a service may have been acknowledged.
+struct WireCommitted {
+  1: string database_service,
+  2: i64 term,
+  3: i64 position,
+}
+
 struct WireReport {
   1: string vm,
   3: i64 sequence,
@@ -24,6 +31,8 @@
   6: bool brief,
   // The VM stops and uses none of its shares any more.
   7: bool leaving,
+  // For services whose primary is being changed.
+  8: list<WireCommitted> committed,
 }
 
 struct WireAccountGrant {
--- a/src/laburnumkeel/promotion/change_plan.cpp
+++ b/src/laburnumkeel/promotion/change_plan.cpp
@@ -124,8 +124,13 @@
   if (!are_all_paused || !view.are_members_current) {
     return {};
   }
-  return PromoteAfterLeases(
-      view, FindBest(view, [](const ChangeMember&) { return true; }));
+  const ChangeMember* longest =
+      FindBest(view, [](const ChangeMember&) { return true; });
+  if (longest != nullptr && longest->received < view.committed &&
+      !view.is_commit_wait_over) {
+    return {};
+  }
+  return PromoteAfterLeases(view, longest);
 }
 
 // Steps the former primary down when a replica can take over at once.
@@ -155,7 +160,8 @@
   // A former primary that restarted without its log is behind the replicas and
   // proves nothing.
   const bool has_kept_its_log =
-      longest == nullptr || former.received >= longest->received;
+      former.received >= view.committed &&
+      (longest == nullptr || former.received >= longest->received);
   if (successor != nullptr && has_kept_its_log &&
       successor->received >= former.received) {
     return PromoteAfterLeases(view, successor);
--- a/src/laburnumkeel/promotion/change_plan.h
+++ b/src/laburnumkeel/promotion/change_plan.h
@@ -48,6 +48,11 @@
   // Log entries that were on their way when the former primary stepped down
   // have arrived.
   bool is_catch_up_over = false;
+  // Commits up to here may have been acknowledged, by what is known of replicas
+  // and clients; zero when nothing is.
+  model::LogPosition committed{};
+  // An endpoint with the commits up to `committed` is no longer waited for.
+  bool is_commit_wait_over = false;
 
   bool operator==(const ChangeView&) const = default;
 };
@@ -87,6 +92,10 @@
 //   of the former primary's log.
 // - All registered replicas are paused, and the endpoint's log is the longest.
 //   It serves when the former primary does not respond.
+// Registered endpoints may not be all that acknowledged commits: one may have
+// left since. A log that ends before `committed` is therefore not promoted, as
+// long as an endpoint with a longer one, such as the crashed primary, may
+// return.
 ChangeStep NextStep(const ChangeView& view);
 
 }  // namespace laburnumkeel::promotion
--- a/tests/peer/fleet_message_test.cpp
+++ b/tests/peer/fleet_message_test.cpp
@@ -18,6 +18,7 @@
     FleetReport report{"vm-1", 7, 9, {}};
     report.accounts["x"] = {1.25, {0.1, 3}, 2};
     report.is_partial = true;
+    report.committed["s"] = {3, 1207};
     CPPUNIT_ASSERT(DecodeReport(Encode(report)) == report);
   }
 
--- a/tests/promotion/change_plan_test.cpp
+++ b/tests/promotion/change_plan_test.cpp
@@ -112,6 +112,8 @@
   CPPUNIT_TEST(ReplicaLeftPausedReceivesAgain);
   CPPUNIT_TEST(RestartedFormerPrimaryProvesNothing);
   CPPUNIT_TEST(UnplannedChangeNeedsACurrentList);
+  CPPUNIT_TEST(LogWithoutAcknowledgedCommitsIsPromotedOnlyAfterAWait);
+  CPPUNIT_TEST(FormerPrimaryWithoutAcknowledgedCommitsProvesNothing);
   CPPUNIT_TEST(PublishesAnInheritedPromotion);
   CPPUNIT_TEST(PublishesAPromotionOfATermThatIsKnown);
   CPPUNIT_TEST(OldPrimaryIsNotPublished);
@@ -212,6 +214,31 @@
     CPPUNIT_ASSERT(NextStep(view) == ChangeStep());
   }
 
+  // Guards against lost commits that only the crashed primary still holds: the
+  // replica that acknowledged them has left.
+  void LogWithoutAcknowledgedCommitsIsPromotedOnlyAfterAWait() {
+    ChangeView view = CrashedView(5, 7);
+    view.committed = {1, 8};
+    CPPUNIT_ASSERT(NextStep(view) == ChangeStep());
+    view.members[0].received = {1, 8};
+    CPPUNIT_ASSERT((NextStep(view) == ChangeStep{ChangeAction::kPromote, "a"}));
+    view.members[0].received = {1, 5};
+    view.is_commit_wait_over = true;
+    CPPUNIT_ASSERT((NextStep(view) == ChangeStep{ChangeAction::kPromote, "b"}));
+  }
+
+  // Guards against a proof by a former primary that restarted without its log
+  // while the only replica is behind.
+  void FormerPrimaryWithoutAcknowledgedCommitsProvesNothing() {
+    ChangeView view = PlannedView(5, 5);
+    view.members[2].is_primary = false;
+    view.members[2].received = {1, 5};
+    view.is_catch_up_over = true;
+    CPPUNIT_ASSERT((NextStep(view) == ChangeStep{ChangeAction::kPromote, "a"}));
+    view.committed = {1, 6};
+    CPPUNIT_ASSERT((NextStep(view) == ChangeStep{ChangeAction::kPause, "a"}));
+  }
+
   // Guards against a second promotion after the leader that started the first
   // one was lost.
   void PublishesAnInheritedPromotion() {
--- a/tests/proxy/service_pool_test.cpp
+++ b/tests/proxy/service_pool_test.cpp
@@ -37,6 +37,8 @@
   CPPUNIT_TEST(TimedOutStatementClosesItsConnection);
   CPPUNIT_TEST(StatementThatCannotBeServedInTimeIsRefused);
   CPPUNIT_TEST(AllowedRegionsAreRespected);
+  CPPUNIT_TEST(SuccessfulWriteIsACommittedPosition);
+  CPPUNIT_TEST(OnlyCommitsOfThePublishedTermCount);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -284,6 +286,27 @@
     account->account_regions = {"region-near"};
     CPPUNIT_ASSERT(this->Run(account).error == ErrorCode::kBusy);
   }
+
+  // Guards against a promotion that does not know of commits whose clients have
+  // their responses. The write's position is above the one known before it.
+  void SuccessfulWriteIsACommittedPosition() {
+    CPPUNIT_ASSERT(this->Succeeds(this->StrictRead()));
+    CPPUNIT_ASSERT(this->pool->Committed() == model::LogPosition());
+    const JobPointer write = this->Write();
+    write->commits_write = true;
+    CPPUNIT_ASSERT(this->Succeeds(write));
+    CPPUNIT_ASSERT((this->pool->Committed() == model::LogPosition{1, 6}));
+  }
+
+  // Guards against a wait for commits that a promotion has cut back.
+  void OnlyCommitsOfThePublishedTermCount() {
+    this->pool->ObserveCommitted({1, 9});
+    CPPUNIT_ASSERT((this->pool->Committed() == model::LogPosition{1, 9}));
+    this->context->primaries.Adopt({"s", "p", 1, true, 2});
+    CPPUNIT_ASSERT((this->pool->Committed() == model::LogPosition{1, 9}));
+    this->context->primaries.Adopt({"s", "r", 2, false, 3});
+    CPPUNIT_ASSERT(this->pool->Committed() == model::LogPosition());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServicePoolTest);
