Let endpoints that respond without a registration take part in a change

Cause: registrations of the primary and of one replica expired while both ran on. After the grace period the leader no longer knew them, paused the only registered replica and promoted it. Until each VM had noticed the expiry itself, the primary acknowledged commits with the other replica.

Ruled out by the log: an order of an earlier change (there was none), and an outdated position of the promoted replica (it answered its pause; the commits went elsewhere).

Change: an endpoint whose registration is gone is kept apart for ten minutes, or until another one registers at its address. It receives no statements. In a change of primary it is asked like the others, and counts as long as it responds; a primary that responds steps down first, as in a planned change. It stays when no registered endpoint may take over.

That the users saw this is suspected.

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -38,6 +38,8 @@
 // be over.
 constexpr milliseconds kCommitWaitTimeout{9000};
 constexpr milliseconds kMemberQueryPeriod{100};
+// Endpoints that are neither registered nor respond have most likely left.
+constexpr milliseconds kSilentQueryPeriod{1000};
 // Log entries that the former primary had sent when it stepped down arrive
 // within this time; covers round trips between regions.
 constexpr milliseconds kCatchUpTime{300};
@@ -356,7 +358,8 @@
   }
   const std::string primary =
       this->context.primaries.Find(service)->endpoint_id;
-  if (!this->context.endpoints.contains(primary)) {
+  if (!this->context.endpoints.contains(primary) &&
+      !this->context.unregistered_endpoints.contains(primary)) {
     return;
   }
   watch.is_query_pending = true;
@@ -392,6 +395,16 @@
          !this->context.evacuations.Contains(endpoint->second.data_centre);
 }
 
+bool FailoverManager::HasAlternative(const std::string& service,
+                                     const std::string& primary) const {
+  return std::any_of(this->context.endpoints.begin(),
+                     this->context.endpoints.end(), [&](const auto& entry) {
+                       return entry.second.service == service &&
+                              entry.first != primary &&
+                              this->IsEligible(entry.first);
+                     });
+}
+
 void FailoverManager::StartChangeIfNeeded(const std::string& service,
                                           ServiceWatch& watch, Instant now) {
   const routing::PrimaryRecord& record = *this->context.primaries.Find(service);
@@ -419,8 +432,16 @@
         return;
       }
     }
-    if (!watch.is_publishing && this->store.AreEndpointsComplete()) {
-      this->StartChange(service, watch, false,
+    // One that still responds acknowledges commits, together with replicas that
+    // may not be registered either: it has to step down first.
+    const bool is_planned =
+        now < this->find_pool(service).LastContact(record.endpoint_id) +
+                  kFailureTimeout;
+    const bool may_start =
+        !is_planned || this->HasAlternative(service, record.endpoint_id);
+    if (may_start && !watch.is_publishing &&
+        this->store.AreEndpointsComplete()) {
+      this->StartChange(service, watch, is_planned,
                         "the primary is no longer registered", now);
     }
     return;
@@ -436,14 +457,8 @@
     watch.change->is_cancellable = true;
     return;
   }
-  const bool has_alternative =
-      std::any_of(this->context.endpoints.begin(),
-                  this->context.endpoints.end(), [&](const auto& entry) {
-                    return entry.second.service == service &&
-                           entry.first != record.endpoint_id &&
-                           this->IsEligible(entry.first);
-                  });
-  if (!this->IsEligible(record.endpoint_id) && has_alternative) {
+  if (!this->IsEligible(record.endpoint_id) &&
+      this->HasAlternative(service, record.endpoint_id)) {
     this->StartChange(service, watch, true,
                       "the primary is draining or evacuated", now);
   }
@@ -484,11 +499,35 @@
   });
 }
 
+std::vector<std::string> FailoverManager::KnownEndpoints(
+    const std::string& service) const {
+  std::vector<std::string> ids;
+  for (const auto& [id, endpoint] : this->context.endpoints) {
+    if (endpoint.service == service) {
+      ids.push_back(id);
+    }
+  }
+  for (const auto& [id, unregistered] : this->context.unregistered_endpoints) {
+    if (unregistered.endpoint.service == service) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
+bool FailoverManager::IsMember(const ServiceChange& change,
+                               const std::string& endpoint_id) const {
+  return this->context.endpoints.contains(endpoint_id) ||
+         (change.members.contains(endpoint_id) &&
+          !change.silent_members.contains(endpoint_id));
+}
+
 void FailoverManager::QueryMembers(const std::string& service,
                                    ServiceChange& change, Instant now) {
-  for (const auto& [id, endpoint] : this->context.endpoints) {
-    if (endpoint.service != service ||
-        now < change.queried_at[id] + kMemberQueryPeriod) {
+  for (const std::string& id : this->KnownEndpoints(service)) {
+    const milliseconds period =
+        this->IsMember(change, id) ? kMemberQueryPeriod : kSilentQueryPeriod;
+    if (now < change.queried_at[id] + period) {
       continue;
     }
     // At most one query is in flight for each member; its reply or time-out
@@ -527,7 +566,10 @@
   ChangeMember& member = change.members[endpoint_id];
   member.id = endpoint_id;
   std::optional<platform_adapter::EndpointState> state;
-  if (reply) {
+  if (!reply) {
+    change.silent_members.insert(endpoint_id);
+  } else {
+    change.silent_members.erase(endpoint_id);
     state = platform_adapter::DecodeEndpointState(reply->rows);
   }
   if (!state) {
@@ -664,8 +706,8 @@
       now < this->find_pool(service).LastContact(view.former) + kFailureTimeout;
   view.read_leases_expired = now >= *change.read_leases_expire_at;
   model::Term highest = 0;
-  for (const auto& [id, endpoint] : this->context.endpoints) {
-    if (endpoint.service != service) {
+  for (const std::string& id : this->KnownEndpoints(service)) {
+    if (!this->IsMember(change, id)) {
       continue;
     }
     ChangeMember member = change.members[id];
@@ -837,8 +879,8 @@
                               model::Term term) {
   watch.change->is_publishing = true;
   const std::string former = this->context.primaries.Find(service)->endpoint_id;
-  for (const auto& [id, endpoint] : this->context.endpoints) {
-    if (endpoint.service != service || id == endpoint_id) {
+  for (const std::string& id : this->KnownEndpoints(service)) {
+    if (id == endpoint_id || !this->IsMember(*watch.change, id)) {
       continue;
     }
     this->RunOnMember(service, id,
--- a/programs/laburnumkeel-proxy/failover_manager.h
+++ b/programs/laburnumkeel-proxy/failover_manager.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "laburnumkeel/limits/rate_coordinator.h"
 #include "laburnumkeel/promotion/change_plan.h"
@@ -95,6 +96,9 @@
   void StartChangeIfNeeded(const std::string& service, ServiceWatch& watch,
                            kernel::Instant now);
   bool IsEligible(const std::string& endpoint_id) const;
+  // True when another endpoint may become the primary.
+  bool HasAlternative(const std::string& service,
+                      const std::string& primary) const;
   void StartChange(const std::string& service, ServiceWatch& watch,
                    bool is_planned, const std::string& reason,
                    kernel::Instant now);
@@ -109,6 +113,12 @@
   void CancelChange(const std::string& service, ServiceWatch& watch,
                     const std::string& reason);
   void QueryReplicaLags(const std::string& service, kernel::Instant now);
+  // The registered endpoints of a service, and those that were until recently.
+  std::vector<std::string> KnownEndpoints(const std::string& service) const;
+  // True when the endpoint takes part in a change: it is registered, or it
+  // responds nevertheless.
+  bool IsMember(const ServiceChange& change,
+                const std::string& endpoint_id) const;
   void QueryMembers(const std::string& service, ServiceChange& change,
                     kernel::Instant now);
   void RunOnMember(const std::string& service, const std::string& endpoint_id,
--- a/programs/laburnumkeel-proxy/proxy_context.h
+++ b/programs/laburnumkeel-proxy/proxy_context.h
@@ -20,6 +20,12 @@
 
 namespace laburnumkeel::proxy {
 
+// An endpoint whose registration is gone.
+struct UnregisteredEndpoint {
+  model::DatabaseEndpoint endpoint;
+  kernel::Instant since;
+};
+
 // State of this process and its view of the fleet, shared by all components.
 // They run on one event loop, so no locking is needed.
 struct ProxyContext {
@@ -35,6 +41,11 @@
   std::shared_ptr<const model::ProxyConfiguration> configuration;
   // By id.
   std::map<std::string, model::DatabaseEndpoint> endpoints;
+  // Endpoints that were registered within the last minutes and are not any
+  // more, by id. They receive no statements of clients, but one that still
+  // responds takes part in a change of primary: its log may hold commits that
+  // no other one has.
+  std::map<std::string, UnregisteredEndpoint> unregistered_endpoints;
   // Endpoints that are draining or whose registration is gone, by id.
   routing::DepartureTable endpoint_departures;
   // Evacuated data centres, by name.
--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -1147,18 +1147,10 @@
     this->primary_adopted = this->context.clock.Now();
   }
   for (const auto& [id, info] : this->context.endpoints) {
-    if (info.service != this->service) {
-      continue;
-    }
-    const auto [entry, is_new] = this->endpoints.try_emplace(id);
-    Endpoint& endpoint = entry->second;
-    if (is_new) {
-      endpoint.default_response_ms = this->IsInOwnRegion(info.data_centre)
-                                         ? kOwnRegionResponseMs
-                                         : kOtherRegionResponseMs;
-      endpoint.response_ms = endpoint.default_response_ms;
-    }
-    endpoint.info = info;
+    this->AddEndpoint(info);
+  }
+  for (const auto& [id, unregistered] : this->context.unregistered_endpoints) {
+    this->AddEndpoint(unregistered.endpoint);
   }
   std::vector<std::string> removed;
   for (const auto& [id, endpoint] : this->endpoints) {
@@ -1168,14 +1160,19 @@
   }
   for (const std::string& id : removed) {
     Endpoint& endpoint = this->endpoints.at(id);
+    const bool is_unregistered =
+        this->context.unregistered_endpoints.contains(id);
     const std::deque<JobPointer> waiting = endpoint.waiting;
     for (const JobPointer& job : waiting) {
-      if (job->is_internal) {
-        this->Fail(job, ErrorCode::kBusy, "the endpoint has left");
-      } else {
+      if (!job->is_internal) {
         this->Retry(job, this->context.clock.Now());
+      } else if (!is_unregistered) {
+        this->Fail(job, ErrorCode::kBusy, "the endpoint has left");
       }
     }
+    if (is_unregistered) {
+      continue;
+    }
     const bool is_in_use = std::any_of(
         endpoint.connections.begin(), endpoint.connections.end(),
         [](const auto& connection) { return !connection->IsFree(); });
@@ -1192,6 +1189,21 @@
   }
 }
 
+void ServicePool::AddEndpoint(const model::DatabaseEndpoint& info) {
+  if (info.service != this->service) {
+    return;
+  }
+  const auto [entry, is_new] = this->endpoints.try_emplace(info.id);
+  Endpoint& endpoint = entry->second;
+  if (is_new) {
+    endpoint.default_response_ms = this->IsInOwnRegion(info.data_centre)
+                                       ? kOwnRegionResponseMs
+                                       : kOtherRegionResponseMs;
+    endpoint.response_ms = endpoint.default_response_ms;
+  }
+  endpoint.info = info;
+}
+
 ServicePool::Endpoint* ServicePool::Find(const std::string& endpoint_id) {
   const auto found = this->endpoints.find(endpoint_id);
   return found == this->endpoints.end() ? nullptr : &found->second;
--- a/programs/laburnumkeel-proxy/service_pool.h
+++ b/programs/laburnumkeel-proxy/service_pool.h
@@ -208,6 +208,8 @@
   void Suspend(Endpoint& endpoint, kernel::Instant now);
   void CheckTimeout(const JobPointer& job, kernel::Instant now);
   void RefreshSamples(kernel::Instant now);
+  // Adds or updates an endpoint if it belongs to this service.
+  void AddEndpoint(const model::DatabaseEndpoint& info);
   Endpoint* Find(const std::string& endpoint_id);
 
   ProxyContext& context;
--- a/programs/laburnumkeel-proxy/service_watch.h
+++ b/programs/laburnumkeel-proxy/service_watch.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "laburnumkeel/kernel/clock.h"
@@ -29,6 +30,8 @@
   // The platform takes some time to carry out an accepted call.
   kernel::Instant promotion_retry_at;
   std::map<std::string, promotion::ChangeMember> members;
+  // Members whose last query got no reply at all.
+  std::set<std::string> silent_members;
   // Since when all known replicas are paused; empty while one is not.
   std::optional<kernel::Instant> all_paused_since;
   // When the former primary first responded as a replica.
--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -46,6 +46,9 @@
 // Live endpoints whose row expired during a store outage register again within
 // about 2 s of its end.
 constexpr milliseconds kExpiredEndpointGrace{3000};
+// Well above the time for which databases are expected to be cut off from the
+// store.
+constexpr std::chrono::minutes kUnregisteredRetention{10};
 // The row of a live endpoint can expire, unseen by this VM, in a longer time
 // without a reading of the table: two heartbeat intervals.
 constexpr milliseconds kMaximumReadGap{2400};
@@ -92,6 +95,9 @@
   if (this->IsFleetDue(now)) {
     this->PollFleet(now);
   }
+  std::erase_if(this->context.unregistered_endpoints, [&](const auto& entry) {
+    return now >= entry.second.since + kUnregisteredRetention;
+  });
   if (this->RemoveExpiredEndpoints()) {
     this->observers.on_change();
   }
@@ -444,6 +450,11 @@
     decoded->is_draining = true;
   }
   const bool has_returned = this->expired_endpoints.erase(row.key) > 0;
+  // An endpoint at the same address has taken the place of an earlier one.
+  std::erase_if(this->context.unregistered_endpoints, [&](const auto& entry) {
+    return entry.first == row.key ||
+           entry.second.endpoint.address == decoded->address;
+  });
   if (decoded->is_draining) {
     this->BeginDeparture(row.key, "draining");
   } else {
@@ -518,13 +529,21 @@
           return false;
         }
         LogEvent(kEndpointChanged, {{"endpoint", entry.first}, {"gone", true}});
-        this->context.endpoints.erase(entry.first);
+        this->Unregister(entry.first);
         this->context.endpoint_departures.End(entry.first);
         return true;
       });
   return removed > 0;
 }
 
+void StoreLink::Unregister(const std::string& id) {
+  const auto known = this->context.endpoints.extract(id);
+  if (!known.empty()) {
+    this->context.unregistered_endpoints[id] = {known.mapped(),
+                                                this->context.clock.Now()};
+  }
+}
+
 std::int64_t StoreLink::StoreNowMs(Instant now) const {
   if (this->store_clock_ms == 0) {
     return 0;
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -210,6 +210,8 @@
   static void LogEvacuation(const std::string& data_centre, bool is_evacuated,
                             std::uint64_t version);
   bool RemoveExpiredEndpoints();
+  // Moves an endpoint to those that are not registered any more.
+  void Unregister(const std::string& id);
 
   bool IsFleetDue(kernel::Instant now) const;
   void PollFleet(kernel::Instant now);
--- a/src/laburnumkeel/promotion/change_plan.h
+++ b/src/laburnumkeel/promotion/change_plan.h
@@ -31,7 +31,8 @@
 };
 
 struct ChangeView {
-  // All known endpoints of the service. Others may join at any time.
+  // The registered endpoints of the service, and those that respond although
+  // their registration is gone. Others may join at any time.
   std::vector<ChangeMember> members;
   // The primary before the change.
   std::string former;
@@ -90,7 +91,7 @@
 // every acknowledged commit:
 // - The former primary has stepped down, and the endpoint's log reaches the end
 //   of the former primary's log.
-// - All registered replicas are paused, and the endpoint's log is the longest.
+// - All these replicas are paused, and the endpoint's log is the longest.
 //   It serves when the former primary does not respond.
 // Registered endpoints may not be all that acknowledged commits: one may have
 // left since. A log that ends before `committed` is therefore not promoted, as
--- /dev/null
+++ b/tests/proxy/unregistered_endpoint_test.cpp
@@ -0,0 +1,112 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+#include "programs/laburnumkeel-proxy/fleet_rows.h"
+#include "tests/support/failover_manager_fixture.h"
+
+namespace laburnumkeel::proxy {
+namespace {
+
+// Endpoints are cut off from the store, so that their registrations expire.
+// They go on, and all VMs reach them.
+class UnregisteredEndpointTest : public testing::FailoverManagerFixture {
+  CPPUNIT_TEST_SUITE(UnregisteredEndpointTest);
+  CPPUNIT_TEST(PrimaryThatRespondsStepsDownFirst);
+  CPPUNIT_TEST(ReplicaThatRespondsIsPausedAndCompared);
+  CPPUNIT_TEST(ReplicaThatIsGoneDelaysNothing);
+  CPPUNIT_TEST(PrimaryStaysWithoutAnAlternative);
+  CPPUNIT_TEST(SuccessorAtTheSameAddressReplacesIt);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against commits that the primary acknowledges with an unregistered
+  // replica, while the only registered one is paused and promoted.
+  void PrimaryThatRespondsStepsDownFirst() {
+    this->StartService();
+    this->store->Remove("servers", "p");
+    this->store->Remove("servers", "q");
+    this->members["p"].received = "1.9";
+    this->members["q"].received = "1.9";
+    this->Run(milliseconds(9000));
+    CPPUNIT_ASSERT(this->databases["r"]->Count("PAUSE") == 0);
+    CPPUNIT_ASSERT(this->members["p"].is_primary);
+    CPPUNIT_ASSERT(this->promotion_calls.empty());
+    this->members["r"].received = "1.9";
+    this->Run(milliseconds(2000));
+    CPPUNIT_ASSERT(!this->members["p"].is_primary);
+    this->AssertOnlyPromoted("r");
+  }
+
+  // Guards against a promotion of the registered replica, which lacks commits
+  // that the other one has. The primary is lost.
+  void ReplicaThatRespondsIsPausedAndCompared() {
+    this->StartService();
+    this->store->Remove("servers", "r");
+    this->Run(milliseconds(4500));
+    CPPUNIT_ASSERT(!this->context->endpoints.contains("r"));
+    this->members["r"].received = "1.9";
+    this->databases["p"]->SetSilent(true);
+    this->Run(milliseconds(6000));
+    CPPUNIT_ASSERT(this->members["r"].paused_term > 0);
+    this->AssertOnlyPromoted("r");
+  }
+
+  void ReplicaThatIsGoneDelaysNothing() {
+    this->StartService();
+    this->store->Remove("servers", "r");
+    this->databases["r"]->SetSilent(true);
+    this->Run(milliseconds(4500));
+    this->databases["p"]->SetSilent(true);
+    this->Run(milliseconds(6000));
+    this->AssertOnlyPromoted("q");
+  }
+
+  // Guards against a primary that steps down with nobody to take over.
+  void PrimaryStaysWithoutAnAlternative() {
+    this->StartService();
+    for (const char* id : {"p", "q", "r"}) {
+      this->store->Remove("servers", id);
+    }
+    this->Run(milliseconds(8000));
+    CPPUNIT_ASSERT(this->members["p"].is_primary);
+    CPPUNIT_ASSERT(!this->PublishedRecord()->is_changing);
+  }
+
+  // Guards against queries to the former id of an endpoint, without end.
+  void SuccessorAtTheSameAddressReplacesIt() {
+    this->StartService();
+    this->store->Remove("servers", "r");
+    this->Run(milliseconds(4500));
+    CPPUNIT_ASSERT(this->context->unregistered_endpoints.contains("r"));
+    this->store->Put("servers", "u",
+                     {{"service", "s"},
+                      {"address", this->databases["r"]->Address()},
+                      {"zone", "dc"},
+                      {"slots", 3},
+                      {"state", "ready"},
+                      {"database_role", "replica"}});
+    this->Run(milliseconds(1500));
+    CPPUNIT_ASSERT(this->context->unregistered_endpoints.empty());
+  }
+
+ private:
+  void StartService() {
+    this->store->Put(std::string(kFleetTable), "primary/s",
+                     {{"endpoint", "p"}, {"term", 1}, {"changing", false}});
+    this->BecomeLeader();
+    this->Run(milliseconds(3500));
+  }
+
+  void AssertOnlyPromoted(const std::string& id) {
+    CPPUNIT_ASSERT(!this->promotion_calls.empty());
+    for (const std::string& promoted : this->promotion_calls) {
+      CPPUNIT_ASSERT_EQUAL(id, promoted);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UnregisteredEndpointTest);
+
+}  // namespace
+}  // namespace laburnumkeel::proxy
