Take only complete entries with usable values for endpoints

Cause: the entry became an endpoint, since missing fields were filled in, an address was not parsed until a connection was opened, and numbers were converted to int without a check. As an endpoint that never responds it kept every other one from being promoted, and reads were offered to it.

Ruled out: that an odd entry ends the process. As deep as the largest row allows is now a test; neither parsing nor freeing is recursive.

Change: an endpoint's entry must have each field that a database reports, of its type and in range, and an address with an IP and a port of 1 to 65535. Other entries are logged once and count for nothing. Numbers in configurations are checked in the same way. A connection to an address that cannot be parsed fails in a later handler, so that the caller's lists do not change under it.

Tests whose entries lacked fields use a complete entry from tests/support; what they check is as before.

--- a/programs/laburnumkeel-proxy/endpoint_connection.cpp
+++ b/programs/laburnumkeel-proxy/endpoint_connection.cpp
@@ -1,5 +1,6 @@
 #include "programs/laburnumkeel-proxy/endpoint_connection.h"
 
+#include <boost/asio/post.hpp>
 #include <utility>
 
 #include "laburnumkeel/transport/socket_address.h"
@@ -22,7 +23,13 @@
   this->open_handler = std::move(handler);
   const auto target = transport::ParseSocketAddress(this->address);
   if (!target) {
-    this->FinishOpen(OpenResult::kUnreachable);
+    // Not within this call: the caller may be going through its connections.
+    boost::asio::post(this->socket.get_executor(),
+                      [self = this->shared_from_this()] {
+                        if (!self->is_closed) {
+                          self->FinishOpen(OpenResult::kUnreachable);
+                        }
+                      });
     return;
   }
   this->socket.async_connect(*target, [self = this->shared_from_this()](
--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -441,6 +441,13 @@
     decoded = platform_adapter::DecodeEndpoint(row.key, row.value);
   }
   const auto known = endpoints.find(row.key);
+  if (row.is_removed || decoded) {
+    this->ignored_endpoints.erase(row.key);
+  } else if (this->ignored_endpoints.insert(row.key).second) {
+    // Its writer may write it again and again.
+    LogEvent(kRowIgnored, {{"key", row.key},
+                           {"row_version", model::VersionText(row.version)}});
+  }
   if (!decoded) {
     return known != endpoints.end() && this->ExpireEndpoint(row.key);
   }
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -266,6 +266,8 @@
   // Endpoints whose row was removed, and since when. They stay in use until
   // kExpiredEndpointGrace has passed.
   std::map<std::string, kernel::Instant> expired_endpoints;
+  // Keys of rows that describe no usable endpoint, as logged.
+  std::set<std::string> ignored_endpoints;
   std::map<std::string, std::uint64_t> primary_versions;
 };
 
--- a/tests/adapter/decoder_fuzz_test.cpp
+++ b/tests/adapter/decoder_fuzz_test.cpp
@@ -51,7 +51,7 @@
   void StoreRowsAndTheirValues() {
     const std::string endpoint =
         R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":3,)"
-        R"("state":"ready","database_role":"primary","born":1700000000000})";
+        R"("version":"v1","cold_remaining_ms":0,"sequence":4,"state":"ready","database_role":"primary","born":1700000000000})";
     const std::string configuration =
         R"({"version":7,"routes":[{"host":"h","service":"s",)"
         R"("kind":"primary","timeout_ms":1000,"priority":1}],)"
--- a/tests/adapter/store_codec_test.cpp
+++ b/tests/adapter/store_codec_test.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "laburnumkeel/model/store_version.h"
+#include "tests/support/endpoint_entry.h"
 
 namespace laburnumkeel::platform_adapter {
 namespace {
@@ -19,6 +20,9 @@
   CPPUNIT_TEST(UnknownConsistencyIsTheStrictest);
   CPPUNIT_TEST(RejectsRowsThatAreNotEndpoints);
   CPPUNIT_TEST(RestartedEndpointDiffers);
+  CPPUNIT_TEST(EntryWithOneUnusableFieldIsNoEndpoint);
+  CPPUNIT_TEST(DeeplyNestedEntryIsNoEndpoint);
+  CPPUNIT_TEST(ConfigurationWithANumberOutOfRangeIsRejected);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -109,11 +113,75 @@
   void RestartedEndpointDiffers() {
     const std::string common =
         R"({"service":"s","address":"10.0.0.1:1","zone":"z","state":"ready",)"
+        R"("version":"v1","slots":3,"cold_remaining_ms":0,)"
         R"("database_role":"replica","sequence":4,"born":)";
     const auto before = DecodeEndpoint("i-1", common + "1000}");
     const auto after = DecodeEndpoint("i-1", common + "2000}");
     CPPUNIT_ASSERT(before && after && !(*before == *after));
   }
+
+  // Guards against an entry of another writer that is used as an endpoint, and
+  // against numbers that change when they are converted.
+  void EntryWithOneUnusableFieldIsNoEndpoint() {
+    const nlohmann::json usable = testing::EndpointEntry("10.0.0.1:1");
+    CPPUNIT_ASSERT(DecodeEndpoint("i-1", usable.dump()));
+    for (const auto& [name, value] : usable.items()) {
+      nlohmann::json entry = usable;
+      entry.erase(name);
+      CPPUNIT_ASSERT_MESSAGE(name, !DecodeEndpoint("i-1", entry.dump()));
+      entry[name] = nlohmann::json::array({value});
+      CPPUNIT_ASSERT_MESSAGE(name, !DecodeEndpoint("i-1", entry.dump()));
+    }
+    const auto rejects = [&](const char* name, const nlohmann::json& value) {
+      nlohmann::json entry = usable;
+      entry[name] = value;
+      CPPUNIT_ASSERT_MESSAGE(entry.dump(),
+                             !DecodeEndpoint("i-1", entry.dump()));
+    };
+    for (const char* name : {"slots", "cold_remaining_ms", "born"}) {
+      rejects(name, 1e300);
+      rejects(name, 18446744073709551615U);
+      rejects(name, 0.5);
+    }
+    rejects("slots", 2147483648U);
+    rejects("slots", -1);
+    for (const char* address : {"10.0.0.1:65536", "10.0.0.1:0", "10.0.0.1:-1",
+                                "10.0.0.1", "host:1", "10.0.0.1:99999999999"}) {
+      rejects("address", address);
+    }
+    // Larger than any number that the parser can hold.
+    std::string text = usable.dump();
+    text.replace(text.find("\"slots\":3"), 9, "\"slots\":1e999");
+    CPPUNIT_ASSERT(!DecodeEndpoint("i-1", text));
+  }
+
+  // Guards against a process that ends when it reads or frees the entry. As
+  // deep as the largest row allows.
+  void DeeplyNestedEntryIsNoEndpoint() {
+    constexpr std::size_t kMaximumRowBytes = 65536;
+    const std::size_t depth = kMaximumRowBytes / 2 - 100;
+    nlohmann::json entry = testing::EndpointEntry("10.0.0.1:1");
+    entry["version"] = "nested";
+    std::string text = entry.dump();
+    const std::string nested =
+        std::string(depth, '[') + std::string(depth, ']');
+    text.replace(text.find("\"nested\""), 8, nested);
+    CPPUNIT_ASSERT(!DecodeEndpoint("i-1", text));
+    CPPUNIT_ASSERT(!DecodeEndpoint("i-1", nested));
+    CPPUNIT_ASSERT(!DecodeEndpoint("i-1", std::string(depth, '{')));
+    CPPUNIT_ASSERT(!DecodeConfiguration(nested));
+  }
+
+  void ConfigurationWithANumberOutOfRangeIsRejected() {
+    for (const char* value :
+         {R"({"version":1e30})",
+          R"({"version":1,"services":[{"name":"s","max_connections":1e12}]})",
+          R"({"version":1,"tenants":[{"name":"t","rate_per_s":"5"}]})",
+          R"({"version":1,"routes":[{"host":"a","service":"s",)"
+          R"("timeout_ms":9999999999}]})"}) {
+      CPPUNIT_ASSERT_MESSAGE(value, !DecodeConfiguration(value));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreCodecTest);
--- a/tests/proxy/store_link_test.cpp
+++ b/tests/proxy/store_link_test.cpp
@@ -10,6 +10,7 @@
 
 #include "laburnumkeel/model/store_version.h"
 #include "programs/laburnumkeel-proxy/proxy_context.h"
+#include "tests/support/endpoint_entry.h"
 #include "tests/support/fake_store.h"
 #include "tests/support/narrow_link.h"
 
@@ -47,6 +48,7 @@
   CPPUNIT_TEST(ChangesUnderWayAreNotTakenForAllRows);
   CPPUNIT_TEST(EndpointThatTheCopyLacksStaysInUse);
   CPPUNIT_TEST(EvacuationThatTheCopyLacksGoesOn);
+  CPPUNIT_TEST(OddEntriesHideNoOther);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -468,19 +470,65 @@
     CPPUNIT_ASSERT(!this->context->evacuations.Contains("dc"));
   }
 
+  // Guards against an entry of another writer that ends or blinds whoever reads
+  // the list, in full, page by page, or by its changes.
+  void OddEntriesHideNoOther() {
+    this->PutOddEntries();
+    this->PutEndpoint("i-1", "ready");
+    this->PutEndpoint("z-1", "ready");
+    this->store->DropHistory();
+    this->store->SetPageSize(1);
+    for (int page = 0; page < 20; ++page) {
+      this->ReadLater();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("a b i-1 z-1 "), this->EndpointIds());
+    this->PutOddEntries();
+    this->PutEndpoint("z-2", "ready");
+    this->ReadLater();
+    CPPUNIT_ASSERT_EQUAL(std::string("a b i-1 z-1 z-2 "), this->EndpointIds());
+    // An odd value under the id of a known endpoint is no registration.
+    this->store->Put("servers", "z-2", 5);
+    this->ReadLater();
+    CPPUNIT_ASSERT(this->context->endpoint_departures.Contains("z-2"));
+    CPPUNIT_ASSERT(!this->context->endpoint_departures.Contains("z-1"));
+  }
+
  private:
+  std::string EndpointIds() const {
+    std::string ids;
+    for (const auto& [id, endpoint] : this->context->endpoints) {
+      ids += id + " ";
+    }
+    return ids;
+  }
+
+  void PutOddEntries() {
+    const nlohmann::json usable = testing::EndpointEntry("127.0.0.1:1");
+    nlohmann::json port = usable;
+    port["address"] = "127.0.0.1:70000";
+    this->store->Put("servers", "odd-port", port);
+    nlohmann::json number = usable;
+    number["slots"] = 1e300;
+    this->store->Put("servers", "odd-number", number);
+    nlohmann::json missing = usable;
+    missing.erase("slots");
+    this->store->Put("servers", "odd-missing", missing);
+    nlohmann::json nested = nlohmann::json::array();
+    for (int depth = 0; depth < 2000; ++depth) {
+      nested = nlohmann::json::array({std::move(nested)});
+    }
+    this->store->Put("servers", "odd-nested", nested);
+  }
+
   // Longer than the time after which a VM reads the tables again.
   static constexpr milliseconds kReadInterval{2500};
   static constexpr milliseconds kDrainBound{7000};
   static constexpr milliseconds kSettleTime{4000};
 
   void PutEndpoint(const std::string& id, const std::string& state) {
-    this->store->Put("servers", id,
-                     {{"service", "s"},
-                      {"address", "127.0.0.1:1"},
-                      {"zone", "dc"},
-                      {"state", state},
-                      {"database_role", "replica"}});
+    nlohmann::json entry = testing::EndpointEntry("127.0.0.1:1");
+    entry["state"] = state;
+    this->store->Put("servers", id, entry);
   }
 
   // Each raises the store's version.
--- a/tests/proxy/unregistered_endpoint_test.cpp
+++ b/tests/proxy/unregistered_endpoint_test.cpp
@@ -80,12 +80,7 @@
     this->Run(milliseconds(4500));
     CPPUNIT_ASSERT(this->context->unregistered_endpoints.contains("r"));
     this->store->Put("servers", "u",
-                     {{"service", "s"},
-                      {"address", this->databases["r"]->Address()},
-                      {"zone", "dc"},
-                      {"slots", 3},
-                      {"state", "ready"},
-                      {"database_role", "replica"}});
+                     testing::EndpointEntry(this->databases["r"]->Address()));
     this->Run(milliseconds(1500));
     CPPUNIT_ASSERT(this->context->unregistered_endpoints.empty());
   }
--- a/tests/support/failover_manager_fixture.h
+++ b/tests/support/failover_manager_fixture.h
@@ -16,6 +16,7 @@
 #include "laburnumkeel/transport/http_responder.h"
 #include "programs/laburnumkeel-proxy/failover_manager.h"
 #include "programs/laburnumkeel-proxy/fleet_rows.h"
+#include "tests/support/endpoint_entry.h"
 #include "tests/support/fake_database.h"
 #include "tests/support/fake_store.h"
 #include "tests/support/free_port.h"
@@ -116,14 +117,11 @@
   }
 
   void PutEndpoint(const std::string& id, const std::string& state = "ready") {
-    this->store->Put("servers", id,
-                     {{"service", "s"},
-                      {"address", this->databases.at(id)->Address()},
-                      {"zone", "dc"},
-                      {"slots", 3},
-                      {"state", state},
-                      {"database_role",
-                       this->members[id].is_primary ? "primary" : "replica"}});
+    nlohmann::json entry = EndpointEntry(this->databases.at(id)->Address());
+    entry["state"] = state;
+    entry["database_role"] =
+        this->members[id].is_primary ? "primary" : "replica";
+    this->store->Put("servers", id, entry);
   }
 
   void Poll() {
