--- a/tests/adapter/store_codec_test.cpp
+++ b/tests/adapter/store_codec_test.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(RestartedEndpointDiffers);
   CPPUNIT_TEST(EntryWithOneUnusableFieldIsNoEndpoint);
   CPPUNIT_TEST(DeeplyNestedEntryIsNoEndpoint);
+  CPPUNIT_TEST(RowWithoutAKeyHidesNoOther);
   CPPUNIT_TEST(ConfigurationWithANumberOutOfRangeIsRejected);
   CPPUNIT_TEST_SUITE_END();
 
@@ -172,6 +173,18 @@
     CPPUNIT_ASSERT(!DecodeConfiguration(nested));
   }
 
+  // Guards against one row that blinds all who read the table.
+  void RowWithoutAKeyHidesNoOther() {
+    const auto rows = DecodeRows(
+        R"({"rows":[{"key":"a","value":"eA==","row_version":1},{"value":"eA=="},)"
+        R"({"key":7},{"key":"b","row_version":"x"},5,)"
+        R"({"key":"c","value":"eA==","row_version":2}],"row_version":3})",
+        1);
+    CPPUNIT_ASSERT(rows.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, rows->rows.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), rows->rows[1].key);
+  }
+
   void ConfigurationWithANumberOutOfRangeIsRejected() {
     for (const char* value :
          {R"({"version":1e30})",
