Encode the key with which the next page of a table begins

What callers would see: VMs that cannot read a table of more than one page, as long as its last row of a page has a key with a blank, '&', '%' or bytes that are not ASCII.

Cause: the key went into the request as it is. A page that was not read is requested again, so nothing ends this.

Change: RowsTarget takes the last key read and encodes it; what follows the key on the wire is known to the codec alone now.

--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -170,7 +170,7 @@
           model::VersionText(this->endpoint_rows.version)}});
     for (TableReader* reader : {&this->operator_rows, &this->endpoint_rows}) {
       reader->is_full_read_due = true;
-      reader->load_from.clear();
+      reader->load_after.clear();
       reader->loaded_keys.clear();
     }
     this->is_fleet_due = true;
@@ -198,7 +198,7 @@
     // Endpoints are of no use before the services are known.
     return false;
   }
-  const bool is_between_pages = !reader.load_from.empty();
+  const bool is_between_pages = !reader.load_after.empty();
   const bool is_restored = model::EraOf(reader.version) < this->Era();
   if (!reader.is_loaded || reader.is_due_now || is_between_pages ||
       is_restored || reader.peer_state.version > reader.version) {
@@ -230,7 +230,7 @@
 void StoreLink::ReadTable(TableReader& reader, Instant now) {
   HttpCall call;
   reader.wait = milliseconds(0);
-  const bool is_next_page = !reader.load_from.empty();
+  const bool is_next_page = !reader.load_after.empty();
   reader.is_reading_in_full = is_next_page || reader.is_full_read_due;
   if (reader.is_reading_in_full) {
     if (!is_next_page) {
@@ -238,7 +238,7 @@
       reader.is_full_read_due = false;
       reader.is_due_now = false;
     }
-    call.target = platform_adapter::RowsTarget(reader.table, reader.load_from);
+    call.target = platform_adapter::RowsTarget(reader.table, reader.load_after);
   } else {
     if (this->is_leader) {
       reader.wait = reader.leader_wait;
@@ -277,7 +277,7 @@
               {"version", model::VersionText(reader.version)}});
     reader.is_loaded = false;
     reader.is_full_read_due = true;
-    reader.load_from.clear();
+    reader.load_after.clear();
     reader.loaded_keys.clear();
     return;
   }
@@ -304,7 +304,7 @@
       since = this->context.clock.Now();
     }
   }
-  const bool is_first_page = reader.load_from.empty();
+  const bool is_first_page = reader.load_after.empty();
   if (is_first_page) {
     reader.first_page_version = rows->store_version;
     reader.first_page_called_at = reader.called_at;
@@ -319,9 +319,7 @@
     }
   }
   if (reader.is_reading_in_full && rows->has_more && !rows->rows.empty()) {
-    // The range includes its start, so a NUL is appended to start after the
-    // last key.
-    reader.load_from = rows->rows.back().key + "%00";
+    reader.load_after = rows->rows.back().key;
     return;
   }
   if (reader.is_reading_in_full) {
@@ -339,7 +337,7 @@
               {"known_version", model::VersionText(reader.version)},
               {"store_version", model::VersionText(rows->store_version)}});
     reader.loaded_keys.clear();
-    reader.load_from.clear();
+    reader.load_after.clear();
     reader.is_loaded = true;
   }
   const Instant now = this->context.clock.Now();
@@ -376,7 +374,7 @@
   }
   reader.failure_status = answer.status;
   // A page that was not read is requested again.
-  reader.is_full_read_due |= reader.load_from.empty();
+  reader.is_full_read_due |= reader.load_after.empty();
   reader.departures->OnStoreFailure(reader.called_at);
   reader.retry_at = now + kRetryDelay;
 }
@@ -586,10 +584,10 @@
   this->ReadFleetPage("");
 }
 
-void StoreLink::ReadFleetPage(const std::string& from) {
+void StoreLink::ReadFleetPage(const std::string& after) {
   const Instant sent = this->context.clock.Now();
   HttpCall call;
-  call.target = platform_adapter::RowsTarget(kFleetTable, from);
+  call.target = platform_adapter::RowsTarget(kFleetTable, after);
   call.timeout = kCallTimeout;
   this->context.metrics.Count("store_reads");
   this->fleet_channel.Send(call, [this, sent](const HttpAnswer& answer) {
@@ -638,7 +636,7 @@
     this->observers.on_leader(nullptr, rows->store_version, rows->store_now_ms);
   }
   if (rows->has_more && !rows->rows.empty()) {
-    this->ReadFleetPage(rows->rows.back().key + "%00");
+    this->ReadFleetPage(rows->rows.back().key);
   } else {
     this->OnFleetRead(sent);
   }
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -156,7 +156,8 @@
     std::uint64_t version = 0;
     // Keys read so far while reading in full.
     std::vector<std::string> loaded_keys;
-    std::string load_from;
+    // Key of the last row read so far; empty while no full read continues.
+    std::string load_after;
     // The store's version when it sent the first page, and when that was
     // requested: a row of the first page may change before the last one is
     // read.
@@ -215,7 +216,7 @@
 
   bool IsFleetDue(kernel::Instant now) const;
   void PollFleet(kernel::Instant now);
-  void ReadFleetPage(const std::string& from);
+  void ReadFleetPage(const std::string& after);
   void OnFleetPage(const transport::HttpAnswer& answer, kernel::Instant sent);
   void OnFleetRead(kernel::Instant sent);
   // Returns true when the row changed a primary.
--- a/tests/adapter/store_codec_test.cpp
+++ b/tests/adapter/store_codec_test.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(DeeplyNestedEntryIsNoEndpoint);
   CPPUNIT_TEST(RowWithoutAKeyHidesNoOther);
   CPPUNIT_TEST(ConfigurationWithANumberOutOfRangeIsRejected);
+  CPPUNIT_TEST(KeyOfTheLastRowIsEncoded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -195,6 +196,14 @@
       CPPUNIT_ASSERT_MESSAGE(value, !DecodeConfiguration(value));
     }
   }
+
+  // Guards against a table that cannot be read past a page which ends with an
+  // odd key.
+  void KeyOfTheLastRowIsEncoded() {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("/-/rows-get?part=&table=t&from=a%20b%26%25%C3%A9/x%00"),
+        RowsTarget("t", "a b&%\xC3\xA9/x"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreCodecTest);
--- a/tests/proxy/store_link_test.cpp
+++ b/tests/proxy/store_link_test.cpp
@@ -506,10 +506,10 @@
     const nlohmann::json usable = testing::EndpointEntry("127.0.0.1:1");
     nlohmann::json port = usable;
     port["address"] = "127.0.0.1:70000";
-    this->store->Put("servers", "odd-port", port);
+    this->store->Put("servers", "odd port", port);
     nlohmann::json number = usable;
     number["slots"] = 1e300;
-    this->store->Put("servers", "odd-number", number);
+    this->store->Put("servers", "odd&number=1%", number);
     nlohmann::json missing = usable;
     missing.erase("slots");
     this->store->Put("servers", "odd-missing", missing);
@@ -517,7 +517,7 @@
     for (int depth = 0; depth < 2000; ++depth) {
       nested = nlohmann::json::array({std::move(nested)});
     }
-    this->store->Put("servers", "odd-nested", nested);
+    this->store->Put("servers", "odd/\xC3\xA9", nested);
   }
 
   // Longer than the time after which a VM reads the tables again.
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -106,6 +106,20 @@
     return target.substr(start, target.find('&', start) - start);
   }
 
+  static std::string PercentDecoded(const std::string& text) {
+    std::string decoded;
+    for (std::size_t index = 0; index < text.size(); ++index) {
+      if (text[index] == '%') {
+        decoded += static_cast<char>(
+            std::stoi(text.substr(index + 1, 2), nullptr, 16));
+        index += 2;
+      } else {
+        decoded += text[index];
+      }
+    }
+    return decoded;
+  }
+
   static std::string TableOf(const std::string& target) {
     return Parameter(target, "table");
   }
@@ -150,7 +164,7 @@
   // A page of a full read, which starts after the last key of the one before
   // it, written as the key and a NUL.
   nlohmann::json Rows(const std::string& table, std::string from) {
-    from = from.substr(0, from.find("%00"));
+    from = PercentDecoded(from.substr(0, from.find("%00")));
     nlohmann::json body = {{"rows", nlohmann::json::array()},
                            {"has_more", false}};
     for (const auto& [key, row] : this->rows[table]) {
