Raise the term of a change above the terms of all replicas

What callers would see: a service without a primary until all VMs are replaced, after a leader was lost during a change and the first endpoint to respond to its successor had not joined the newest term.

Cause: the next term was fixed when the first endpoint had responded. PAUSE has no effect on a replica in that term or a later one, and the plan waited for it without end.

Ruled out: changes that begin with a silent primary. They fix the term only when all replicas have responded.

Change: the published term and those that this leader has seen count from the beginning, and the next term is raised above the term of any replica until a promotion call was sent.

Evidence: ReplicaOfANewerTermIsPaused fails without the change (trial).

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -706,6 +706,7 @@
       now < this->find_pool(service).LastContact(view.former) + kFailureTimeout;
   view.read_leases_expired = now >= *change.read_leases_expire_at;
   model::Term highest = 0;
+  model::Term replica_term = 0;
   for (const std::string& id : this->KnownEndpoints(service)) {
     if (!this->IsMember(change, id)) {
       continue;
@@ -714,10 +715,16 @@
     member.id = id;
     member.is_eligible = this->IsEligible(id);
     highest = std::max(highest, member.term);
+    replica_term = std::max(replica_term, member.is_primary ? 0 : member.term);
     view.members.push_back(member);
   }
+  // The first endpoints to respond may not have heard of the newest term. A
+  // pause takes effect only with a higher term than that of the replica.
+  const bool is_too_low = replica_term >= change.next_term;
   if (change.next_term == 0 && highest > 0) {
-    change.next_term = highest + 1;
+    change.next_term = std::max({highest, record.term, watch.term}) + 1;
+  } else if (is_too_low && change.promotion_target.empty()) {
+    change.next_term = replica_term + 1;
   }
   view.next_term = change.next_term;
   if (view.next_term == 0) {
--- a/tests/proxy/failover_manager_test.cpp
+++ b/tests/proxy/failover_manager_test.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(PrimaryIsPublishedAgainInARestoredStore);
   CPPUNIT_TEST(RestoredPrimaryDoesNotReplaceItsSuccessor);
   CPPUNIT_TEST(PrimaryThatRestartsUnderAnotherIdIsPublished);
+  CPPUNIT_TEST(ReplicaOfANewerTermIsPaused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -185,6 +186,26 @@
     CPPUNIT_ASSERT(this->promotion_calls.empty());
   }
 
+  // Load pattern: one replica was cut off during the last change of primary and
+  // has not joined the present term; it is the first to respond. Guards against
+  // pauses without end whose term the other replica already has.
+  void ReplicaOfANewerTermIsPaused() {
+    this->store->Put(std::string(kFleetTable), "primary/s",
+                     {{"endpoint", "p"}, {"term", 1}, {"changing", true}});
+    this->databases["p"]->SetSilent(true);
+    this->members["r"].term = 4;
+    this->members["r"].received = "4.8";
+    this->members["r"].is_busy = true;
+    this->BecomeLeader();
+    this->Run(milliseconds(1000));
+    CPPUNIT_ASSERT(this->members["q"].paused_term > 0);
+    this->members["r"].is_busy = false;
+    this->Run(milliseconds(5000));
+    CPPUNIT_ASSERT(this->members["r"].paused_term > 4);
+    CPPUNIT_ASSERT(!this->promotion_calls.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("r"), this->promotion_calls[0]);
+  }
+
  private:
   // The primary is draining; both replicas are paused or about to be.
   void BeginPlannedChange() {
--- a/tests/support/failover_manager_fixture.h
+++ b/tests/support/failover_manager_fixture.h
@@ -78,6 +78,7 @@
     std::string received = "1.5";
     int paused_term = 0;
     bool do_orders_fail = false;
+    bool is_busy = false;
   };
 
   // The process of this VM starts, or starts again: it knows nothing.
@@ -202,6 +203,9 @@
  private:
   // Carries out an order, and describes the endpoint.
   static std::string Respond(Member& member, std::string_view line) {
+    if (member.is_busy) {
+      return "ERROR BUSY full\r\nREADY I " + member.received + "\r\n";
+    }
     const auto term_after = [&](std::string_view word) {
       const std::size_t found = line.find(word);
       return found == std::string_view::npos
