Give up an endpoint that leaves instead of being promoted

What callers would see: a service without a primary until another VM leads.

Cause: after a promotion call the leader called for no other endpoint, and for the same one only while the plan preferred it. When that began to drain, the plan preferred another one, and no call was made any more, also after the first one had left. The endpoint counted as the target even when the call could not be sent.

Change: the call is repeated for the same endpoint, whichever one the plan prefers. One that is neither registered nor responds is given up; the platform does not promote a database that is not running. The target is set when the call is sent.

The fixture of FailoverManager's tests now processes time-outs of its pool, without which a silent endpoint never counted as silent.

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -730,6 +730,10 @@
   if (view.next_term == 0) {
     return;
   }
+  if (!this->IsMember(change, change.promotion_target)) {
+    // An endpoint that has left is not promoted by a late call any more.
+    change.promotion_target.clear();
+  }
   this->UpdateProofs(service, change, view, now);
   const ChangeStep step = promotion::NextStep(view);
   const bool touches_replica = step.action == ChangeAction::kPause ||
@@ -817,7 +821,12 @@
       }
       return;
     case ChangeAction::kPromote:
-      this->Promote(service, watch, step.endpoint, now);
+      // After a promotion call, no other endpoint may be promoted: the response
+      // may be lost although the call takes effect.
+      this->Promote(service, watch,
+                    change.promotion_target.empty() ? step.endpoint
+                                                    : change.promotion_target,
+                    now);
       return;
     case ChangeAction::kPublish:
       this->Publish(service, watch, step.endpoint,
@@ -832,11 +841,12 @@
     return;
   }
   ServiceChange& change = *watch.change;
-  // After a promotion call, no other endpoint may be promoted: the response may
-  // be lost although the call takes effect.
-  if ((!change.promotion_target.empty() &&
-       change.promotion_target != endpoint_id) ||
-      now < change.promotion_retry_at) {
+  auto& channel = this->channels[service];
+  if (!channel) {
+    channel = std::make_unique<transport::HttpChannel>(
+        this->context.loop, this->context.settings.promotion_address);
+  }
+  if (now < change.promotion_retry_at || channel->IsBusy()) {
     return;
   }
   const model::LogPosition committed = this->find_pool(service).Committed();
@@ -849,15 +859,6 @@
   }
   change.promotion_target = endpoint_id;
   change.is_promotion_pending = true;
-  auto& channel = this->channels[service];
-  if (!channel) {
-    channel = std::make_unique<transport::HttpChannel>(
-        this->context.loop, this->context.settings.promotion_address);
-  }
-  if (channel->IsBusy()) {
-    change.is_promotion_pending = false;
-    return;
-  }
   channel->Send(
       platform_adapter::PromotionCall(service, endpoint_id,
                                       this->context.settings.vm,
--- a/tests/proxy/failover_manager_test.cpp
+++ b/tests/proxy/failover_manager_test.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(RestoredPrimaryDoesNotReplaceItsSuccessor);
   CPPUNIT_TEST(PrimaryThatRestartsUnderAnotherIdIsPublished);
   CPPUNIT_TEST(ReplicaOfANewerTermIsPaused);
+  CPPUNIT_TEST(EndpointThatLeavesInsteadOfLeadingIsGivenUp);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -206,6 +207,27 @@
     CPPUNIT_ASSERT_EQUAL(std::string("r"), this->promotion_calls[0]);
   }
 
+  // Load pattern: the platform accepts a promotion call that has no effect, and
+  // the endpoint drains and leaves. Guards against a service for which no
+  // endpoint is promoted any more.
+  void EndpointThatLeavesInsteadOfLeadingIsGivenUp() {
+    this->BecomeLeader();
+    this->databases["p"]->SetSilent(true);
+    this->Run(milliseconds(6000));
+    CPPUNIT_ASSERT_EQUAL(std::string("q"), this->promotion_calls.back());
+    // The other replica is preferred now, but the call may still take effect.
+    this->PutEndpoint("q", "draining");
+    this->Run(milliseconds(1500));
+    const std::size_t calls = this->promotion_calls.size();
+    this->Run(milliseconds(1500));
+    CPPUNIT_ASSERT(this->promotion_calls.size() > calls);
+    CPPUNIT_ASSERT_EQUAL(std::string("q"), this->promotion_calls.back());
+    this->store->Remove("servers", "q");
+    this->databases["q"]->SetSilent(true);
+    this->Run(milliseconds(7000));
+    CPPUNIT_ASSERT_EQUAL(std::string("r"), this->promotion_calls.back());
+  }
+
  private:
   // The primary is draining; both replicas are paused or about to be.
   void BeginPlannedChange() {
--- a/tests/support/failover_manager_fixture.h
+++ b/tests/support/failover_manager_fixture.h
@@ -147,6 +147,7 @@
     for (milliseconds passed{0}; passed < duration;
          passed += milliseconds(100)) {
       this->link->Tick(this->context->clock.Now(), this->manager->IsLeader());
+      this->pool->Tick(this->context->clock.Now());
       this->Poll();
       this->Step();
     }
