Fix no term of a change before an endpoint has responded

A former primary in a term of at least 1 then counted as promoted by this change, and a planned change ended where it began.

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -720,16 +720,16 @@
   }
   // The first endpoints to respond may not have heard of the newest term. A
   // pause takes effect only with a higher term than that of the replica.
-  const bool is_too_low = replica_term >= change.next_term;
-  if (change.next_term == 0 && highest > 0) {
+  if (change.next_term == 0) {
+    if (highest == 0) {
+      return;
+    }
     change.next_term = std::max({highest, record.term, watch.term}) + 1;
-  } else if (is_too_low && change.promotion_target.empty()) {
+  } else if (replica_term >= change.next_term &&
+             change.promotion_target.empty()) {
     change.next_term = replica_term + 1;
   }
   view.next_term = change.next_term;
-  if (view.next_term == 0) {
-    return;
-  }
   if (!this->IsMember(change, change.promotion_target)) {
     // An endpoint that has left is not promoted by a late call any more.
     change.promotion_target.clear();
