Make the write of a primary when it is its turn to be sent

Cause: such a write expects the version of the leader lease's row, which was fixed when the write was queued. A renewal that was queued before it changed that row. With a renewal due every 100 ms, because operations have to be published first, each write of a primary conflicted.

Ruled out by a log line added for a trial: a record that had changed unnoticed. The record of a service without any change conflicted too.

Change: StoreLink asks for the rows and expected versions when it sends. The version of the lease is the present one; a VM that no longer leads does not send. The expected version of the primary's row stays that of the decision.

Evidence: FrequentRenewalsDoNotKeepAPrimaryFromBeingReplaced fails without the change (trial).

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -251,8 +251,12 @@
     std::function<void(const WriteOutcome&)> handler) {
   const std::string table(kFleetTable);
   const std::string key(kLeaderKey);
-  this->store.Write({{table, key, this->lease.Version()}},
-                    {{table, key, EncodeLeader(record)}}, std::move(handler));
+  this->store.Write(
+      [table, key, record, version = this->lease.Version()] {
+        return StoreLink::Transaction{{{table, key, version}},
+                                      {{table, key, EncodeLeader(record)}}};
+      },
+      std::move(handler));
 }
 
 ServiceWatch* FailoverManager::FindChanging(const std::string& service) {
@@ -328,11 +332,20 @@
   const std::string table(kFleetTable);
   const Instant sent = this->context.clock.Now();
   // The write is conditional on the row of the leader lease, so a VM that has
-  // lost the lease cannot change a primary.
+  // lost the lease cannot change a primary. A renewal that is sent before it
+  // changes that row.
   this->store.Write(
-      {{table, key, this->store.PrimaryVersion(record.service)},
-       {table, std::string(kLeaderKey), this->lease.Version()}},
-      {{table, key, EncodePrimary(record)}},
+      [this, table, key, record,
+       version = this->store.PrimaryVersion(
+           record.service)]() -> std::optional<StoreLink::Transaction> {
+        if (!this->IsLeader()) {
+          return std::nullopt;
+        }
+        return StoreLink::Transaction{
+            {{table, key, version},
+             {table, std::string(kLeaderKey), this->lease.Version()}},
+            {{table, key, EncodePrimary(record)}}};
+      },
       [this, record, sent,
        handler = std::move(handler)](const WriteOutcome& outcome) {
         const bool is_done = outcome.kind == WriteOutcome::Kind::kDone;
--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -56,6 +56,20 @@
 // lacks.
 constexpr milliseconds kSettleTime{3000};
 
+// The oldest era among the expected versions; empty when none is expected.
+std::optional<std::uint64_t> EraOf(
+    const std::vector<platform_adapter::RowExpectation>& expectations) {
+  std::optional<std::uint64_t> oldest;
+  for (const auto& expectation : expectations) {
+    // Version 0 stands for a missing row in any era.
+    if (expectation.version > 0) {
+      const std::uint64_t row_era = model::EraOf(expectation.version);
+      oldest = std::min(oldest.value_or(row_era), row_era);
+    }
+  }
+  return oldest;
+}
+
 }  // namespace
 
 StoreLink::StoreLink(ProxyContext& context, Observers observers)
@@ -710,28 +724,22 @@
 }
 
 void StoreLink::RegisterVm() {
-  this->Write({},
-              {{std::string(kFleetTable),
-                std::string(kVmKeyPrefix) + this->context.settings.vm,
-                EncodeVm(this->OwnRow())}},
-              [](const WriteOutcome&) {});
+  this->Write(
+      [this] {
+        return Transaction{
+            {},
+            {{std::string(kFleetTable),
+              std::string(kVmKeyPrefix) + this->context.settings.vm,
+              EncodeVm(this->OwnRow())}}};
+      },
+      [](const WriteOutcome&) {});
 }
 
 void StoreLink::Write(
-    const std::vector<platform_adapter::RowExpectation>& expectations,
-    const std::vector<platform_adapter::RowWrite>& new_writes,
+    std::function<std::optional<Transaction>()> make_transaction,
     std::function<void(const WriteOutcome&)> handler) {
-  std::optional<std::uint64_t> expected_era;
-  for (const auto& expectation : expectations) {
-    // Version 0 stands for a missing row in any era.
-    if (expectation.version > 0) {
-      const std::uint64_t row_era = model::EraOf(expectation.version);
-      expected_era = std::min(expected_era.value_or(row_era), row_era);
-    }
-  }
   this->writes.push_back(
-      {platform_adapter::EncodeTransaction(expectations, new_writes),
-       expected_era, std::move(handler)});
+      {std::move(make_transaction), std::move(handler), std::nullopt});
   if (this->writes.size() == 1) {
     this->SendNextWrite();
   }
@@ -742,7 +750,12 @@
 }
 
 void StoreLink::SendNextWrite() {
-  if (this->IsOutdated(this->writes.front())) {
+  PendingWrite& write = this->writes.front();
+  const std::optional<Transaction> transaction = write.make_transaction();
+  if (transaction) {
+    write.expected_era = EraOf(transaction->expectations);
+  }
+  if (!transaction || this->IsOutdated(write)) {
     // The versions may have been given out again, to other rows' contents.
     this->FinishWrite({WriteOutcome::Kind::kConflict, 0});
     return;
@@ -750,7 +763,8 @@
   HttpCall call;
   call.method = "POST";
   call.target = platform_adapter::kTransactionTarget;
-  call.body = this->writes.front().body;
+  call.body = platform_adapter::EncodeTransaction(transaction->expectations,
+                                                  transaction->writes);
   call.timeout = kWriteTimeout;
   this->context.metrics.Count("store_writes");
   this->write_channel.Send(call, [this](const HttpAnswer& answer) {
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -98,10 +98,17 @@
   // Notifies the observers that primaries changed.
   void NotifyChange() { this->observers.on_change(); }
 
-  // Writes rows, with one call at a time. A write that expects versions of an
-  // earlier era conflicts at once, within this call.
-  void Write(const std::vector<platform_adapter::RowExpectation>& expectations,
-             const std::vector<platform_adapter::RowWrite>& new_writes,
+  // Rows to write, and the versions on which that depends.
+  struct Transaction {
+    std::vector<platform_adapter::RowExpectation> expectations;
+    std::vector<platform_adapter::RowWrite> writes;
+  };
+
+  // Writes rows, with one call at a time. `make_transaction` is called when all
+  // earlier writes have ended, so that it knows the versions that they left
+  // behind. The write conflicts without a call when it returns nothing, or when
+  // it expects versions of an earlier era.
+  void Write(std::function<std::optional<Transaction>()> make_transaction,
              std::function<void(const WriteOutcome&)> handler);
 
   // True when both the configuration and the endpoints have been read.
@@ -172,10 +179,11 @@
   };
 
   struct PendingWrite {
-    std::string body;
-    // The versions that it expects are of this era; empty when it expects none.
-    std::optional<std::uint64_t> expected_era;
+    std::function<std::optional<Transaction>()> make_transaction;
     std::function<void(const WriteOutcome&)> handler;
+    // The versions that it expects are of this era; empty when it expects none,
+    // and before it is sent.
+    std::optional<std::uint64_t> expected_era;
   };
 
   // Processes the store's era, which each of its responses contains. In a new
--- a/tests/proxy/failover_manager_test.cpp
+++ b/tests/proxy/failover_manager_test.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(PrimaryThatRestartsUnderAnotherIdIsPublished);
   CPPUNIT_TEST(ReplicaOfANewerTermIsPaused);
   CPPUNIT_TEST(EndpointThatLeavesInsteadOfLeadingIsGivenUp);
+  CPPUNIT_TEST(FrequentRenewalsDoNotKeepAPrimaryFromBeingReplaced);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -228,6 +229,19 @@
     CPPUNIT_ASSERT_EQUAL(std::string("r"), this->promotion_calls.back());
   }
 
+  // Load pattern: accounts ask for operations that need a renewal of the lease,
+  // at every opportunity. Guards against writes of a primary that expect the
+  // version which the renewal before them has just replaced.
+  void FrequentRenewalsDoNotKeepAPrimaryFromBeingReplaced() {
+    this->BecomeLeader();
+    this->databases["p"]->SetSilent(true);
+    for (int step = 0; step < 60; ++step) {
+      this->manager->RenewSoon();
+      this->Run(milliseconds(100));
+    }
+    CPPUNIT_ASSERT(!this->promotion_calls.empty());
+  }
+
  private:
   // The primary is draining; both replicas are paused or about to be.
   void BeginPlannedChange() {
--- a/tests/proxy/store_link_test.cpp
+++ b/tests/proxy/store_link_test.cpp
@@ -215,7 +215,11 @@
     const int writes = this->store->Writes();
     int handled = 0;
     const auto write = [&](const std::string& key, auto handler) {
-      this->link->Write({}, {{"laburnumkeel", key, "1"}}, handler);
+      this->link->Write(
+          [key] {
+            return StoreLink::Transaction{{}, {{"laburnumkeel", key, "1"}}};
+          },
+          handler);
     };
     write("first", [&](const StoreLink::WriteOutcome&) {
       ++handled;
@@ -333,8 +337,11 @@
     StoreLink::WriteOutcome lost;
     const auto write = [&](std::uint64_t expected_version) {
       this->link->Write(
-          {{"laburnumkeel", "row", expected_version}},
-          {{"laburnumkeel", "row", "1"}},
+          [expected_version] {
+            return StoreLink::Transaction{
+                {{"laburnumkeel", "row", expected_version}},
+                {{"laburnumkeel", "row", "1"}}};
+          },
           [&](const StoreLink::WriteOutcome& outcome) { lost = outcome; });
       this->ReadFleet();
     };
