Do not take a misrouted connection for contact with its endpoint

What callers would see: a service without a primary while a database that another service has started at the lost primary's address is not registered.

Cause: the last contact of an endpoint was set by each answered connection, also by the answer that another endpoint is at the address.

Ruled out: replies on open connections. They end with the process.

--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -524,7 +524,8 @@
     return;
   }
   const Instant now = this->context.clock.Now();
-  if (result != OpenResult::kUnreachable) {
+  // After kMisrouted, another endpoint is at the address.
+  if (result == OpenResult::kOpened || result == OpenResult::kOverload) {
     endpoint->last_contact = now;
   }
   if (result == OpenResult::kOpened) {
--- a/tests/proxy/failover_manager_test.cpp
+++ b/tests/proxy/failover_manager_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <string_view>
 
 #include "programs/laburnumkeel-proxy/fleet_rows.h"
 #include "tests/support/failover_manager_fixture.h"
@@ -26,6 +27,7 @@
   CPPUNIT_TEST(ReplicaOfANewerTermIsPaused);
   CPPUNIT_TEST(EndpointThatLeavesInsteadOfLeadingIsGivenUp);
   CPPUNIT_TEST(FrequentRenewalsDoNotKeepAPrimaryFromBeingReplaced);
+  CPPUNIT_TEST(AnotherEndpointAtItsAddressIsNoSignOfThePrimary);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -242,6 +244,21 @@
     CPPUNIT_ASSERT(!this->promotion_calls.empty());
   }
 
+  // Load pattern: the primary is lost, and a database of another service starts
+  // at its address. Guards against a change that waits for a primary which
+  // seems to respond.
+  void AnotherEndpointAtItsAddressIsNoSignOfThePrimary() {
+    this->BecomeLeader();
+    this->Run(milliseconds(3500));
+    this->databases["p"]->SetScript(
+        [](std::string_view) { return testing::FakeDatabase::kReset; });
+    this->databases["p"]->RefuseStartups("MISROUTED i-other");
+    this->Run(milliseconds(1000));
+    this->store->Remove("servers", "p");
+    this->Run(milliseconds(9000));
+    CPPUNIT_ASSERT(!this->promotion_calls.empty());
+  }
+
  private:
   // The primary is draining; both replicas are paused or about to be.
   void BeginPlannedChange() {
--- a/tests/support/fake_database.h
+++ b/tests/support/fake_database.h
@@ -42,6 +42,11 @@
   // Responds to no line, not even to STARTUP, or does again.
   void SetSilent(bool new_is_silent) { this->is_silent = new_is_silent; }
 
+  // Refuses connections with an error line such as "MISROUTED id".
+  void RefuseStartups(std::string error) {
+    this->startup_error = std::move(error);
+  }
+
   // All received lines, each with the number of its connection.
   const std::vector<std::pair<int, std::string>>& Lines() const {
     return this->lines;
@@ -107,6 +112,11 @@
     if (this->is_silent) {
       return;
     }
+    if (line.starts_with("STARTUP") && !this->startup_error.empty()) {
+      stream.Write("ERROR " + this->startup_error + "\r\n");
+      stream.CloseAfterWrite();
+      return;
+    }
     if (line.starts_with("STARTUP")) {
       stream.Write("READY I 1.5\r\n");
       return;
@@ -127,6 +137,7 @@
   std::vector<std::pair<int, std::string>> lines;
   bool in_transaction = false;
   bool is_silent = false;
+  std::string startup_error;
 };
 
 }  // namespace laburnumkeel::testing
