Log each promotion call with its token and what remains of the lease

The step `promote` was logged once for an endpoint, not for each call; no line had the token of a call, and duty_taken did not say how the lease was acquired.

Change: promotion_called and promotion_call_ended for each call, the counter promotion_calls, the predecessor (released, expired, restarted) in duty_taken and the reason in duty_lost. They replace the step promotion_answered. No decision changed.

--- a/programs/laburnumkeel-proxy/events.h
+++ b/programs/laburnumkeel-proxy/events.h
@@ -130,6 +130,15 @@
     6541, Severity::kError, "handler_threw",
     "a handler of the event loop threw an exception; the program goes on"};
 
+inline constexpr EventDefinition kPromotionCalled{
+    6542, Severity::kInformation, "promotion_called",
+    "the platform is called to promote an endpoint; lease_left_ms is how long "
+    "this VM still holds the leader lease"};
+inline constexpr EventDefinition kPromotionCallEnded{
+    6543, Severity::kInformation, "promotion_call_ended",
+    "a promotion call was answered, or given up with status 0; leads tells "
+    "whether this VM still holds the leader lease"};
+
 // All events of this program, for the event catalogue.
 inline constexpr std::array kEvents{kProxyReady,
                                     kProxyStopping,
@@ -148,6 +157,8 @@
                                     kTableReadFailed,
                                     kStoreRestored,
                                     kPrimaryPublishedAgain,
+                                    kPromotionCalled,
+                                    kPromotionCallEnded,
                                     kPrimaryAdopted,
                                     kDutyTaken,
                                     kDutyLost,
--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -108,9 +108,19 @@
   this->Renew(now);
   const bool is_leader = this->lease.IsHeld(now);
   if (is_leader != this->was_leader) {
-    LogEvent(is_leader ? kDutyTaken : kDutyLost,
-             {{"token", this->lease.Record() ? this->lease.Record()->token : 0},
-              {"row_version", model::VersionText(this->lease.Version())}});
+    const std::uint64_t token =
+        this->lease.Record() ? this->lease.Record()->token : 0;
+    const std::string version = model::VersionText(this->lease.Version());
+    if (is_leader) {
+      LogEvent(kDutyTaken,
+               {{"token", token},
+                {"row_version", version},
+                {"predecessor", ToString(this->lease.AcquiredBy())}});
+    } else {
+      LogEvent(
+          kDutyLost,
+          {{"token", token}, {"row_version", version}, {"reason", "expired"}});
+    }
     this->was_leader = is_leader;
     this->watches.clear();
   }
@@ -872,15 +882,27 @@
   }
   change.promotion_target = endpoint_id;
   change.is_promotion_pending = true;
+  const std::uint64_t token = this->lease.Record()->token;
+  this->context.metrics.Count("promotion_calls");
+  LogEvent(kPromotionCalled,
+           {{"service", service},
+            {"endpoint", endpoint_id},
+            {"token", token},
+            {"lease_left_ms",
+             kernel::ToMilliseconds(this->lease.HeldUntil() - now)}});
   channel->Send(
       platform_adapter::PromotionCall(service, endpoint_id,
-                                      this->context.settings.vm,
-                                      this->lease.Record()->token),
-      [this, service, endpoint_id](const transport::HttpAnswer& answer) {
-        LogEvent(kChangeStep, {{"service", service},
-                               {"action", "promotion_answered"},
-                               {"endpoint", endpoint_id},
-                               {"status", answer.status}});
+                                      this->context.settings.vm, token),
+      [this, service, endpoint_id, token,
+       now](const transport::HttpAnswer& answer) {
+        const Instant ended = this->context.clock.Now();
+        LogEvent(kPromotionCallEnded,
+                 {{"service", service},
+                  {"endpoint", endpoint_id},
+                  {"token", token},
+                  {"status", answer.status},
+                  {"elapsed_ms", kernel::ToMilliseconds(ended - now)},
+                  {"leads", this->lease.IsHeld(ended)}});
         ServiceWatch* watched = this->FindChanging(service);
         if (watched == nullptr) {
           return;
--- a/src/laburnumkeel/promotion/leader_lease.cpp
+++ b/src/laburnumkeel/promotion/leader_lease.cpp
@@ -6,6 +6,18 @@
 
 namespace laburnumkeel::promotion {
 
+std::string_view ToString(Acquisition acquisition) {
+  switch (acquisition) {
+    case Acquisition::kReleased:
+      return "released";
+    case Acquisition::kExpired:
+      return "expired";
+    case Acquisition::kRestarted:
+      return "restarted";
+  }
+  return "unknown";
+}
+
 void LeaderLease::Observe(const LeaderRecord& new_record,
                           std::uint64_t new_version, std::int64_t store_now_ms,
                           kernel::Instant now) {
@@ -71,6 +83,9 @@
 
 void LeaderLease::OnWritten(const LeaderRecord& new_record,
                             std::uint64_t new_version, kernel::Instant sent) {
+  if (!this->record || this->record->token != new_record.token) {
+    this->acquired_by = this->NextAcquisition();
+  }
   this->is_restored = false;
   this->version = new_version;
   this->record = new_record;
@@ -79,6 +94,17 @@
       new_record.holder == this->vm ? sent + kLifetime : kernel::Instant();
 }
 
+Acquisition LeaderLease::NextAcquisition() const {
+  if (this->is_restored) {
+    return Acquisition::kExpired;
+  }
+  if (!this->record || this->record->holder.empty()) {
+    return Acquisition::kReleased;
+  }
+  return this->record->holder == this->vm ? Acquisition::kRestarted
+                                          : Acquisition::kExpired;
+}
+
 bool LeaderLease::MayAcquire(kernel::Instant now) const {
   const bool was_read_recently =
       this->read_at && now < *this->read_at + kReadingLifetime;
--- a/src/laburnumkeel/promotion/leader_lease.h
+++ b/src/laburnumkeel/promotion/leader_lease.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "laburnumkeel/kernel/clock.h"
 
@@ -34,6 +35,19 @@
   bool operator==(const LeaderRecord&) const = default;
 };
 
+// What this VM knows of the holder from which it acquired the leader lease.
+enum class Acquisition {
+  // There was none, or it had released the lease.
+  kReleased,
+  // Its lease expired, or the store was restored and may lack another holder.
+  kExpired,
+  // It was an earlier process of this VM.
+  kRestarted,
+};
+
+// The name in log lines.
+std::string_view ToString(Acquisition acquisition);
+
 // Decides who may change primaries. The record is written under the condition
 // that its version is the one last read, so only one VM can acquire the lease.
 // The holder relies on its record for `kLifetime` after it *sent* the last
@@ -97,10 +111,15 @@
   // own tokens, as a restored store may lack holders of the era before.
   std::uint64_t NextToken(std::uint64_t store_era) const;
 
+  // How this VM acquired the lease with the token of `Record`.
+  Acquisition AcquiredBy() const { return this->acquired_by; }
+
   const std::optional<LeaderRecord>& Record() const { return this->record; }
   std::uint64_t Version() const { return this->version; }
 
  private:
+  // How this VM would acquire the lease now.
+  Acquisition NextAcquisition() const;
   void ObserveRestored(const LeaderRecord& restored_record,
                        std::uint64_t restored_version, kernel::Instant now);
 
@@ -113,6 +132,7 @@
   std::optional<kernel::Instant> read_at;
   kernel::Instant changed_at;
   kernel::Instant held_until;
+  Acquisition acquired_by = Acquisition::kReleased;
 };
 
 }  // namespace laburnumkeel::promotion
