--- a/src/laburnumkeel/transport/http_channel.cpp
+++ b/src/laburnumkeel/transport/http_channel.cpp
@@ -1,5 +1,9 @@
 #include "laburnumkeel/transport/http_channel.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/algorithm/string/case_conv.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -51,7 +55,8 @@
       return;
     }
     const auto endpoint = ParseSocketAddress(this->address);
-    if (!endpoint) {
+    if (!endpoint ||
+        (call.is_withdrawable && !this->MakeWithdrawable(*endpoint, call))) {
       this->Finish({});
       return;
     }
@@ -74,6 +79,26 @@
   }
 
  private:
+  // Opens the socket such that closing it discards what is not acknowledged.
+  bool MakeWithdrawable(const asio::ip::tcp::endpoint& endpoint,
+                        const HttpCall& call) {
+    this->is_withdrawable = true;
+    auto& socket = this->stream.socket();
+    beast::error_code error;
+    socket.open(endpoint.protocol(), error);
+    if (error) {
+      return false;
+    }
+    socket.set_option(asio::socket_base::linger(true, 0), error);
+    if (error) {
+      return false;
+    }
+    // Also ends the connection of a process that is stopped.
+    const auto timeout_ms = static_cast<unsigned>(call.timeout.count());
+    return setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                      &timeout_ms, sizeof timeout_ms) == 0;
+  }
+
   void Write() {
     http::async_write(this->stream, this->request,
                       [self = this->shared_from_this()](beast::error_code error,
@@ -114,9 +139,15 @@
   }
 
   void Finish(const HttpAnswer& answer) {
-    if (answer.status == 0) {
+    if (answer.status == 0 || this->is_withdrawable) {
       this->is_usable = false;
     }
+    if (answer.status != 0 && this->is_withdrawable) {
+      // Nothing is left to withdraw, so that the connection ends in order.
+      beast::error_code ignored;
+      this->stream.socket().set_option(asio::socket_base::linger(false, 0),
+                                       ignored);
+    }
     if (!this->is_usable) {
       this->stream.close();
     }
@@ -134,6 +165,7 @@
   Handler handler;
   bool is_connected = false;
   bool is_usable = true;
+  bool is_withdrawable = false;
 };
 
 HttpChannel::HttpChannel(asio::io_context& loop, std::string address)
@@ -150,7 +182,8 @@
 }
 
 void HttpChannel::Send(const HttpCall& call, Handler handler) {
-  if (!this->connection || !this->connection->IsUsable()) {
+  if (!this->connection || !this->connection->IsUsable() ||
+      call.is_withdrawable) {
     this->connection = std::make_shared<Connection>(this->loop, this->address);
   }
   this->connection->Send(call, std::move(handler));
--- a/src/laburnumkeel/transport/http_channel.h
+++ b/src/laburnumkeel/transport/http_channel.h
@@ -20,6 +20,10 @@
   // The connection is closed when the response is not complete within this
   // time, which includes connecting.
   std::chrono::milliseconds timeout{1000};
+  // The call must not reach the server after it was given up, or after this
+  // process has ended. It gets a connection of its own, which is then reset, so
+  // that the system discards what the server's system has not received.
+  bool is_withdrawable = false;
 };
 
 // The response to a call. `status` is 0 when no complete response arrived: the
@@ -35,9 +39,9 @@
   std::map<std::string, std::string> headers = {};
 };
 
-// Client of an HTTP server on an event loop, with one keep-alive connection and
-// one call at a time. A call is sent once: a failure is reported, never
-// retried.
+// Client of an HTTP server on an event loop, with one call at a time, and one
+// keep-alive connection for all calls that are not withdrawable. A call is sent
+// once: a failure is reported, never retried.
 class HttpChannel {
  public:
   using Handler = std::function<void(const HttpAnswer& answer)>;
--- a/tests/transport/withdrawn_call_test.cpp
+++ b/tests/transport/withdrawn_call_test.cpp
@@ -65,7 +65,7 @@
   [[noreturn]] void SendAndHang() const {
     boost::asio::io_context child_loop;
     HttpChannel channel(child_loop, this->link.Address());
-    channel.Send({"POST", "/", "body", {}, milliseconds(60'000)},
+    channel.Send({"POST", "/", "body", {}, milliseconds(60'000), true},
                  [](const HttpAnswer&) {});
     child_loop.run_for(milliseconds(60'000));
     _exit(0);
