Move promotion calls out of FailoverManager

FailoverManager decides when an endpoint is promoted; how a call is made under the leader lease, and what is known of it afterwards, gets a class of its own, PromotionCaller, before that part changes. The lease is now compared with the time of the call instead of the time of the tick. Nothing else changes.

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -6,7 +6,6 @@
 #include "laburnumkeel/kernel/event_log.h"
 #include "laburnumkeel/kernel/milliseconds.h"
 #include "laburnumkeel/model/store_version.h"
-#include "platform/promotion_call.h"
 #include "programs/laburnumkeel-proxy/events.h"
 #include "programs/laburnumkeel-proxy/fleet_rows.h"
 
@@ -43,9 +42,6 @@
 // Log entries that the former primary had sent when it stepped down arrive
 // within this time; covers round trips between regions.
 constexpr milliseconds kCatchUpTime{300};
-// Time that must remain on the leader lease when the platform is called to
-// promote an endpoint; covers the duration of the call.
-constexpr milliseconds kLeaderLeaseMargin{1000};
 // Added to the lifetime of read leases to allow for clock drift.
 constexpr milliseconds kReadLeaseMargin{100};
 // The leader answers reports of all other VMs, so a VM that may use less
@@ -80,7 +76,8 @@
       find_pool(std::move(find_pool)),
       on_published(std::move(on_published)),
       on_released(std::move(on_released)),
-      lease(context.settings.vm) {}
+      lease(context.settings.vm),
+      promotion_caller(context, this->lease) {}
 
 bool FailoverManager::IsLeader() const {
   return this->lease.IsHeld(this->context.clock.Now());
@@ -860,16 +857,9 @@
 
 void FailoverManager::Promote(const std::string& service, ServiceWatch& watch,
                               const std::string& endpoint_id, Instant now) {
-  if (now + kLeaderLeaseMargin >= this->lease.HeldUntil()) {
-    return;
-  }
   ServiceChange& change = *watch.change;
-  auto& channel = this->channels[service];
-  if (!channel) {
-    channel = std::make_unique<transport::HttpChannel>(
-        this->context.loop, this->context.settings.promotion_address);
-  }
-  if (now < change.promotion_retry_at || channel->IsBusy()) {
+  if (now < change.promotion_retry_at ||
+      !this->promotion_caller.MayCall(service)) {
     return;
   }
   const model::LogPosition committed = this->find_pool(service).Committed();
@@ -882,27 +872,9 @@
   }
   change.promotion_target = endpoint_id;
   change.is_promotion_pending = true;
-  const std::uint64_t token = this->lease.Record()->token;
-  this->context.metrics.Count("promotion_calls");
-  LogEvent(kPromotionCalled,
-           {{"service", service},
-            {"endpoint", endpoint_id},
-            {"token", token},
-            {"lease_left_ms",
-             kernel::ToMilliseconds(this->lease.HeldUntil() - now)}});
-  channel->Send(
-      platform_adapter::PromotionCall(service, endpoint_id,
-                                      this->context.settings.vm, token),
-      [this, service, endpoint_id, token,
-       now](const transport::HttpAnswer& answer) {
-        const Instant ended = this->context.clock.Now();
-        LogEvent(kPromotionCallEnded,
-                 {{"service", service},
-                  {"endpoint", endpoint_id},
-                  {"token", token},
-                  {"status", answer.status},
-                  {"elapsed_ms", kernel::ToMilliseconds(ended - now)},
-                  {"leads", this->lease.IsHeld(ended)}});
+  this->promotion_caller.Call(
+      service, endpoint_id,
+      [this, service](const transport::HttpAnswer& answer) {
         ServiceWatch* watched = this->FindChanging(service);
         if (watched == nullptr) {
           return;
--- a/programs/laburnumkeel-proxy/failover_manager.h
+++ b/programs/laburnumkeel-proxy/failover_manager.h
@@ -3,7 +3,6 @@
 
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -13,8 +12,8 @@
 #include "laburnumkeel/limits/rate_coordinator.h"
 #include "laburnumkeel/promotion/change_plan.h"
 #include "laburnumkeel/promotion/leader_lease.h"
-#include "laburnumkeel/transport/http_channel.h"
 #include "platform/wire_codec.h"
+#include "programs/laburnumkeel-proxy/promotion_caller.h"
 #include "programs/laburnumkeel-proxy/proxy_context.h"
 #include "programs/laburnumkeel-proxy/service_pool.h"
 #include "programs/laburnumkeel-proxy/service_watch.h"
@@ -151,7 +150,7 @@
   std::function<void()> on_released;
   promotion::LeaderLease lease;
   std::map<std::string, ServiceWatch> watches;
-  std::map<std::string, std::unique_ptr<transport::HttpChannel>> channels;
+  PromotionCaller promotion_caller;
   std::function<Handover()> handover_source;
   limits::WithheldOperations inherited_operations;
   kernel::Instant renewal_sent_at;
--- /dev/null
+++ b/programs/laburnumkeel-proxy/promotion_caller.cpp
@@ -0,0 +1,78 @@
+#include "programs/laburnumkeel-proxy/promotion_caller.h"
+
+#include <chrono>
+#include <utility>
+
+#include "laburnumkeel/kernel/event_log.h"
+#include "laburnumkeel/kernel/milliseconds.h"
+#include "platform/promotion_call.h"
+#include "programs/laburnumkeel-proxy/events.h"
+
+namespace laburnumkeel::proxy {
+
+using kernel::Instant;
+using kernel::LogEvent;
+
+namespace {
+
+// Time that must remain on the leader lease when the platform is called to
+// promote an endpoint; covers the duration of the call.
+constexpr std::chrono::milliseconds kLeaderLeaseMargin{1000};
+
+}  // namespace
+
+PromotionCaller::PromotionCaller(ProxyContext& context,
+                                 const promotion::LeaderLease& lease)
+    : context(context), lease(lease) {}
+
+bool PromotionCaller::MayCall(const std::string& service) const {
+  if (this->context.clock.Now() + kLeaderLeaseMargin >=
+      this->lease.HeldUntil()) {
+    return false;
+  }
+  const auto channel = this->channels.find(service);
+  return channel == this->channels.end() || !channel->second->IsBusy();
+}
+
+void PromotionCaller::Call(const std::string& service,
+                           const std::string& endpoint_id,
+                           transport::HttpChannel::Handler handler) {
+  auto& channel = this->channels[service];
+  if (!channel) {
+    channel = std::make_unique<transport::HttpChannel>(
+        this->context.loop, this->context.settings.promotion_address);
+  }
+  const Instant called = this->context.clock.Now();
+  const std::uint64_t token = this->lease.Record()->token;
+  this->context.metrics.Count("promotion_calls");
+  LogEvent(kPromotionCalled,
+           {{"service", service},
+            {"endpoint", endpoint_id},
+            {"token", token},
+            {"lease_left_ms",
+             kernel::ToMilliseconds(this->lease.HeldUntil() - called)}});
+  channel->Send(
+      platform_adapter::PromotionCall(service, endpoint_id,
+                                      this->context.settings.vm, token),
+      [this, service, endpoint_id, token, called,
+       handler = std::move(handler)](const transport::HttpAnswer& answer) {
+        this->OnEnded(service, endpoint_id, token, called, answer);
+        handler(answer);
+      });
+}
+
+void PromotionCaller::OnEnded(const std::string& service,
+                              const std::string& endpoint_id,
+                              std::uint64_t token, Instant called,
+                              const transport::HttpAnswer& answer) const {
+  const Instant now = this->context.clock.Now();
+  LogEvent(kPromotionCallEnded,
+           {{"service", service},
+            {"endpoint", endpoint_id},
+            {"token", token},
+            {"status", answer.status},
+            {"elapsed_ms", kernel::ToMilliseconds(now - called)},
+            {"leads", this->lease.IsHeld(now)}});
+}
+
+}  // namespace laburnumkeel::proxy
--- /dev/null
+++ b/programs/laburnumkeel-proxy/promotion_caller.h
@@ -0,0 +1,43 @@
+#ifndef LABURNUMKEEL_PROGRAMS_PROXY_PROMOTION_CALLER_H_
+#define LABURNUMKEEL_PROGRAMS_PROXY_PROMOTION_CALLER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "laburnumkeel/kernel/clock.h"
+#include "laburnumkeel/promotion/leader_lease.h"
+#include "laburnumkeel/transport/http_channel.h"
+#include "programs/laburnumkeel-proxy/proxy_context.h"
+
+namespace laburnumkeel::proxy {
+
+// Calls the platform to promote endpoints, under the leader lease. The platform
+// executes whatever reaches it.
+class PromotionCaller {
+ public:
+  PromotionCaller(ProxyContext& context, const promotion::LeaderLease& lease);
+
+  // True when the leader lease lasts long enough for a call, and no call for
+  // the service is under way.
+  bool MayCall(const std::string& service) const;
+
+  // Starts a call; `MayCall` must be true.
+  void Call(const std::string& service, const std::string& endpoint_id,
+            transport::HttpChannel::Handler handler);
+
+ private:
+  void OnEnded(const std::string& service, const std::string& endpoint_id,
+               std::uint64_t token, kernel::Instant called,
+               const transport::HttpAnswer& answer) const;
+
+  ProxyContext& context;
+  const promotion::LeaderLease& lease;
+  // By service.
+  std::map<std::string, std::unique_ptr<transport::HttpChannel>> channels;
+};
+
+}  // namespace laburnumkeel::proxy
+
+#endif  // LABURNUMKEEL_PROGRAMS_PROXY_PROMOTION_CALLER_H_
