Compare a promotion call with the lease right before it is written

Cause: the lease was checked when the call was handed to the channel. The connection was opened first, and the request was written whenever that was done: by a process that stood still meanwhile, or on a platform that accepts slowly, under a lease that another VM held. The time-out of the call did not help, as the timers of the event loop stop while a VM is suspended.

Ruled out: opening the connection ahead of the decision. It may be cut by the time that it is used, and what is written then is held up.

Change: a call can have a condition that is asked right before the first byte, on the clock that counts suspended time: the lease is held with the token of the call, and the call has not expired. The same condition is asked with every tick for calls under way, which are given up when it fails. An answer tells whether anything was sent. Between the question and the write remain microseconds in which a process can be stopped.

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -103,6 +103,7 @@
     return;
   }
   this->Renew(now);
+  this->promotion_caller.Tick();
   const bool is_leader = this->lease.IsHeld(now);
   if (is_leader != this->was_leader) {
     const std::uint64_t token =
--- a/programs/laburnumkeel-proxy/promotion_caller.cpp
+++ b/programs/laburnumkeel-proxy/promotion_caller.cpp
@@ -30,35 +30,53 @@
       this->lease.HeldUntil()) {
     return false;
   }
-  const auto channel = this->channels.find(service);
-  return channel == this->channels.end() || !channel->second->IsBusy();
+  const auto call = this->calls.find(service);
+  return call == this->calls.end() || !call->second.channel->IsBusy();
 }
 
 void PromotionCaller::Call(const std::string& service,
                            const std::string& endpoint_id,
                            transport::HttpChannel::Handler handler) {
-  auto& channel = this->channels[service];
-  if (!channel) {
-    channel = std::make_unique<transport::HttpChannel>(
+  ServiceCall& call = this->calls[service];
+  if (!call.channel) {
+    call.channel = std::make_unique<transport::HttpChannel>(
         this->context.loop, this->context.settings.promotion_address);
   }
+  transport::HttpCall request = platform_adapter::PromotionCall(
+      service, endpoint_id, this->context.settings.vm,
+      this->lease.Record()->token);
   const Instant called = this->context.clock.Now();
-  const std::uint64_t token = this->lease.Record()->token;
+  call.token = this->lease.Record()->token;
+  call.expires_at = called + request.timeout;
+  request.may_send = [this, &call] { return this->IsInTime(call); };
   this->context.metrics.Count("promotion_calls");
   LogEvent(kPromotionCalled,
            {{"service", service},
             {"endpoint", endpoint_id},
-            {"token", token},
+            {"token", call.token},
             {"lease_left_ms",
              kernel::ToMilliseconds(this->lease.HeldUntil() - called)}});
-  channel->Send(
-      platform_adapter::PromotionCall(service, endpoint_id,
-                                      this->context.settings.vm, token),
-      [this, service, endpoint_id, token, called,
-       handler = std::move(handler)](const transport::HttpAnswer& answer) {
-        this->OnEnded(service, endpoint_id, token, called, answer);
-        handler(answer);
-      });
+  call.channel->Send(request, [this, service, endpoint_id, token = call.token,
+                               called, handler = std::move(handler)](
+                                  const transport::HttpAnswer& answer) {
+    this->OnEnded(service, endpoint_id, token, called, answer);
+    handler(answer);
+  });
+}
+
+void PromotionCaller::Tick() {
+  for (auto& [service, call] : this->calls) {
+    if (call.channel->IsBusy() && !this->IsInTime(call)) {
+      call.channel->GiveUp();
+    }
+  }
+}
+
+bool PromotionCaller::IsInTime(const ServiceCall& call) const {
+  const Instant now = this->context.clock.Now();
+  // The timers of the event loop stop while the VM is suspended.
+  return now < call.expires_at && this->lease.IsHeld(now) &&
+         this->lease.Record()->token == call.token;
 }
 
 void PromotionCaller::OnEnded(const std::string& service,
@@ -71,6 +89,7 @@
             {"endpoint", endpoint_id},
             {"token", token},
             {"status", answer.status},
+            {"sent", !answer.is_unsent},
             {"elapsed_ms", kernel::ToMilliseconds(now - called)},
             {"leads", this->lease.IsHeld(now)}});
 }
--- a/programs/laburnumkeel-proxy/promotion_caller.h
+++ b/programs/laburnumkeel-proxy/promotion_caller.h
@@ -27,7 +27,19 @@
   void Call(const std::string& service, const std::string& endpoint_id,
             transport::HttpChannel::Handler handler);
 
+  // Gives up the calls that this VM may not make any more.
+  void Tick();
+
  private:
+  // The call for a service, under way or the last one.
+  struct ServiceCall {
+    std::unique_ptr<transport::HttpChannel> channel;
+    std::uint64_t token = 0;
+    kernel::Instant expires_at;
+  };
+
+  // True while a call that was started may be sent and executed.
+  bool IsInTime(const ServiceCall& call) const;
   void OnEnded(const std::string& service, const std::string& endpoint_id,
                std::uint64_t token, kernel::Instant called,
                const transport::HttpAnswer& answer) const;
@@ -35,7 +47,7 @@
   ProxyContext& context;
   const promotion::LeaderLease& lease;
   // By service.
-  std::map<std::string, std::unique_ptr<transport::HttpChannel>> channels;
+  std::map<std::string, ServiceCall> calls;
 };
 
 }  // namespace laburnumkeel::proxy
--- a/src/laburnumkeel/transport/http_channel.cpp
+++ b/src/laburnumkeel/transport/http_channel.cpp
@@ -36,6 +36,8 @@
 
   void Send(const HttpCall& call, Handler new_handler) {
     this->handler = std::move(new_handler);
+    this->may_send = call.may_send;
+    this->is_unsent = true;
     this->request = {};
     this->request.method_string(call.method);
     this->request.target(call.target);
@@ -62,7 +64,7 @@
     }
     this->stream.async_connect(*endpoint, [self = this->shared_from_this()](
                                               beast::error_code error) {
-      if (error) {
+      if (error || !self->IsBusy()) {
         self->Finish({});
         return;
       }
@@ -73,6 +75,12 @@
     });
   }
 
+  void GiveUp() {
+    if (this->IsBusy()) {
+      this->Finish({});
+    }
+  }
+
   void Abandon() {
     this->handler = nullptr;
     this->stream.close();
@@ -100,6 +108,11 @@
   }
 
   void Write() {
+    if (this->may_send && !this->may_send()) {
+      this->Finish({});
+      return;
+    }
+    this->is_unsent = false;
     http::async_write(this->stream, this->request,
                       [self = this->shared_from_this()](beast::error_code error,
                                                         std::size_t) {
@@ -134,11 +147,12 @@
             answer.headers.insert_or_assign(std::move(name),
                                             std::string(field.value()));
           }
-          self->Finish(answer);
+          self->Finish(std::move(answer));
         });
   }
 
-  void Finish(const HttpAnswer& answer) {
+  void Finish(HttpAnswer answer) {
+    answer.is_unsent = this->is_unsent;
     if (answer.status == 0 || this->is_withdrawable) {
       this->is_usable = false;
     }
@@ -163,6 +177,8 @@
   std::optional<http::response_parser<http::string_body>> parser;
   beast::flat_buffer buffer;
   Handler handler;
+  std::function<bool()> may_send;
+  bool is_unsent = true;
   bool is_connected = false;
   bool is_usable = true;
   bool is_withdrawable = false;
@@ -177,6 +193,12 @@
   }
 }
 
+void HttpChannel::GiveUp() {
+  if (this->connection) {
+    this->connection->GiveUp();
+  }
+}
+
 bool HttpChannel::IsBusy() const {
   return this->connection && this->connection->IsBusy();
 }
--- a/src/laburnumkeel/transport/http_channel.h
+++ b/src/laburnumkeel/transport/http_channel.h
@@ -24,10 +24,14 @@
   // process has ended. It gets a connection of its own, which is then reset, so
   // that the system discards what the server's system has not received.
   bool is_withdrawable = false;
+  // Asked right before the request is written, if set; the call is not sent
+  // when it returns false.
+  std::function<bool()> may_send;
 };
 
 // The response to a call. `status` is 0 when no complete response arrived: the
-// server may have executed the call or may still execute it.
+// server may have executed the call or may still execute it, unless it is
+// unsent.
 struct HttpAnswer {
   static constexpr int kOk = 200;
 
@@ -37,6 +41,8 @@
   std::size_t received_bytes = 0;
   // By name in lower case.
   std::map<std::string, std::string> headers = {};
+  // Nothing of the request was written: the server cannot execute it.
+  bool is_unsent = false;
 };
 
 // Client of an HTTP server on an event loop, with one call at a time, and one
@@ -57,6 +63,9 @@
 
   bool IsBusy() const;
 
+  // Gives up the call in progress, if there is one; its handler is called.
+  void GiveUp();
+
  private:
   class Connection;
 
--- a/tests/proxy/late_promotion_call_test.cpp
+++ b/tests/proxy/late_promotion_call_test.cpp
@@ -21,6 +21,7 @@
 class LatePromotionCallTest : public testing::FailoverManagerFixture {
   CPPUNIT_TEST_SUITE(LatePromotionCallTest);
   CPPUNIT_TEST(AbandonedCallDoesNotArriveAfterACut);
+  CPPUNIT_TEST(CallUnderWayIsGivenUpWhenTheLeaseEnds);
   CPPUNIT_TEST(CallIsNotSentAfterTheLeaseExpiredWhileConnecting);
   CPPUNIT_TEST(LeaseIsNotReleasedWhileACallIsUnderWay);
   CPPUNIT_TEST(LeaseIsNotReleasedAfterACallWithoutAnswer);
@@ -45,6 +46,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->promotion_calls.size());
   }
 
+  // Load pattern: the leader is suspended, and the event loop's timers with it.
+  void CallUnderWayIsGivenUpWhenTheLeaseEnds() {
+    this->CutPlatform();
+    this->RunUntil([this] { return this->link_to_platform->SentBytes() > 0; });
+    this->context->clock.Advance(LeaderLease::kLifetime);
+    this->manager->Tick(this->context->clock.Now());
+    this->Poll();
+    this->link_to_platform->Heal();
+    this->Poll();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->promotion_calls.size());
+  }
+
   // Load pattern: the platform accepts connections slowly, and the leader is
   // suspended until after its lease has expired.
   void CallIsNotSentAfterTheLeaseExpiredWhileConnecting() {
--- a/tests/transport/withdrawn_call_test.cpp
+++ b/tests/transport/withdrawn_call_test.cpp
@@ -65,8 +65,11 @@
   [[noreturn]] void SendAndHang() const {
     boost::asio::io_context child_loop;
     HttpChannel channel(child_loop, this->link.Address());
-    channel.Send({"POST", "/", "body", {}, milliseconds(60'000), true},
-                 [](const HttpAnswer&) {});
+    HttpCall call;
+    call.method = "POST";
+    call.timeout = milliseconds(60'000);
+    call.is_withdrawable = true;
+    channel.Send(call, [](const HttpAnswer&) {});
     child_loop.run_for(milliseconds(60'000));
     _exit(0);
   }
