Start a promotion call only when it ends before the lease does

Cause: the time-out of the call (1.5 s, in platform/) and what had to remain of the lease (1 s, in the proxy) did not know of each other. A call that was started with 1.0 to 1.5 s left could still be on its way when the lease ended.

Ruled out: a shorter time-out. A platform that is slow answers late, and each call that is given up leaves its outcome unknown.

Change: the bounds of the lease, the call and the margin between them stand in LeaderLease, which decides whether a call may start: time-out and margin (1.5 s and 0.5 s) have to fit into what is left. Two renewals in a row may fail before calls have to wait.

Tests, each failing with the old condition put back: CallIsNotStartedShortlyBeforeTheLeaseEnds (sockets), CallEndsBeforeARivalMayCall (clocks a tenth apart), CallMayStartWhenTwoRenewalsHaveFailed. The last two fail when one of the bounds is changed alone.

--- a/programs/laburnumkeel-proxy/promotion_caller.cpp
+++ b/programs/laburnumkeel-proxy/promotion_caller.cpp
@@ -1,6 +1,5 @@
 #include "programs/laburnumkeel-proxy/promotion_caller.h"
 
-#include <chrono>
 #include <utility>
 
 #include "laburnumkeel/kernel/event_log.h"
@@ -13,21 +12,12 @@
 using kernel::Instant;
 using kernel::LogEvent;
 
-namespace {
-
-// Time that must remain on the leader lease when the platform is called to
-// promote an endpoint; covers the duration of the call.
-constexpr std::chrono::milliseconds kLeaderLeaseMargin{1000};
-
-}  // namespace
-
 PromotionCaller::PromotionCaller(ProxyContext& context,
                                  const promotion::LeaderLease& lease)
     : context(context), lease(lease) {}
 
 bool PromotionCaller::MayCall(const std::string& service) const {
-  if (this->context.clock.Now() + kLeaderLeaseMargin >=
-      this->lease.HeldUntil()) {
+  if (!this->lease.MayCall(this->context.clock.Now())) {
     return false;
   }
   const auto call = this->calls.find(service);
@@ -47,7 +37,8 @@
       this->lease.Record()->token);
   const Instant called = this->context.clock.Now();
   call.token = this->lease.Record()->token;
-  call.expires_at = called + request.timeout;
+  call.expires_at = called + promotion::LeaderLease::kCallTimeout;
+  request.timeout = promotion::LeaderLease::kCallTimeout;
   request.may_send = [this, &call] { return this->IsInTime(call); };
   this->context.metrics.Count("promotion_calls");
   LogEvent(kPromotionCalled,
--- a/src/laburnumkeel/promotion/leader_lease.h
+++ b/src/laburnumkeel/promotion/leader_lease.h
@@ -68,6 +68,12 @@
   static constexpr std::chrono::milliseconds kAcquireDelay{5700};
   // Five renewals within `kLifetime`.
   static constexpr std::chrono::milliseconds kRenewalPeriod{1000};
+  // A call that acts for the holder is given up after this time, which includes
+  // connecting.
+  static constexpr std::chrono::milliseconds kCallTimeout{1500};
+  // Minimum time from the end of a call to that of the lease; covers what has
+  // left the VM but not arrived.
+  static constexpr std::chrono::milliseconds kCallMargin{500};
   // Minimum time between renewals that admit clients' operations: ten writes a
   // second from one VM are a small load for the store.
   static constexpr std::chrono::milliseconds kMinimumRenewalPeriod{100};
@@ -98,6 +104,11 @@
   // Returns true while the store holds no record written since it was restored.
   bool IsRestored() const { return this->is_restored; }
 
+  // Returns true when a call that starts now is over before the lease may end.
+  bool MayCall(kernel::Instant now) const {
+    return now + kCallTimeout + kCallMargin <= this->held_until;
+  }
+
   // Time until which this VM holds the leader lease; zero when it does not.
   kernel::Instant HeldUntil() const { return this->held_until; }
 
--- a/tests/promotion/leader_lease_test.cpp
+++ b/tests/promotion/leader_lease_test.cpp
@@ -27,6 +27,8 @@
   CPPUNIT_TEST(RestoredRecordTellsNothingOfWhatWasGranted);
   CPPUNIT_TEST(RecordMissingInARestoredStoreIsWritten);
   CPPUNIT_TEST(TokenIsNotGivenOutAgainInARestoredStore);
+  CPPUNIT_TEST(CallEndsBeforeARivalMayCall);
+  CPPUNIT_TEST(CallMayStartWhenTwoRenewalsHaveFailed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -208,6 +210,41 @@
     CPPUNIT_ASSERT(lease.NextToken(2) > lost.NextToken(1));
   }
 
+  // Guards against a call that is still on its way when a rival acquires the
+  // lease. The holder's clock is slower by a tenth.
+  void CallEndsBeforeARivalMayCall() {
+    LeaderLease holder("a");
+    LeaderLease rival("b");
+    const LeaderRecord record{"a", "10.0.0.1:1", 1, 500, {}, {}};
+    holder.OnWritten(record, 10, At(0));
+    rival.Observe(record, 10, 500, At(0));
+    milliseconds last_start{0};
+    milliseconds acquirable{0};
+    for (int ms = 0; acquirable == milliseconds(0); ms += 10) {
+      rival.Observe(record, 10, 500 + ms, At(ms));
+      if (holder.MayCall(At(ms * 10 / 11))) {
+        last_start = milliseconds(ms);
+      }
+      if (rival.MayAcquire(At(ms))) {
+        acquirable = milliseconds(ms);
+      }
+    }
+    const milliseconds last_end =
+        last_start + LeaderLease::kCallTimeout * 11 / 10;
+    CPPUNIT_ASSERT(last_start > milliseconds(0));
+    CPPUNIT_ASSERT(last_end + LeaderLease::kCallMargin <= acquirable);
+  }
+
+  // Guards against bounds of calls that leave no time to make one while the
+  // store does not respond.
+  void CallMayStartWhenTwoRenewalsHaveFailed() {
+    LeaderLease holder("a");
+    holder.OnWritten({"a", "10.0.0.1:1", 1, 500, {}, {}}, 10, At(0));
+    CPPUNIT_ASSERT(holder.MayCall(At(0) + LeaderLease::kRenewalPeriod * 3));
+    CPPUNIT_ASSERT(!holder.MayCall(At(0) + LeaderLease::kLifetime -
+                                   LeaderLease::kCallTimeout));
+  }
+
  private:
   static kernel::Instant At(int ms) {
     return kernel::Instant(std::chrono::hours(1) + milliseconds(ms));
--- a/tests/proxy/late_promotion_call_test.cpp
+++ b/tests/proxy/late_promotion_call_test.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(AbandonedCallDoesNotArriveAfterACut);
   CPPUNIT_TEST(CallUnderWayIsGivenUpWhenTheLeaseEnds);
   CPPUNIT_TEST(CallIsNotSentAfterTheLeaseExpiredWhileConnecting);
+  CPPUNIT_TEST(CallIsNotStartedShortlyBeforeTheLeaseEnds);
   CPPUNIT_TEST(LeaseIsNotReleasedWhileACallIsUnderWay);
   CPPUNIT_TEST(LeaseIsNotReleasedAfterACallWithoutAnswer);
   CPPUNIT_TEST_SUITE_END();
@@ -73,6 +74,27 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->full_platform->ReceivedBytes());
   }
 
+  // Load pattern: the store fails while the leader repeats a call without
+  // effect. Guards against a call that outlasts the lease.
+  void CallIsNotStartedShortlyBeforeTheLeaseEnds() {
+    this->RunUntil([this] { return !this->promotion_calls.empty(); });
+    this->store->Refuse(503);
+    milliseconds shortest = LeaderLease::kLifetime;
+    std::size_t calls = this->promotion_calls.size();
+    while (this->manager->IsLeader()) {
+      const kernel::Instant now = this->context->clock.Now();
+      this->Run(milliseconds(100));
+      if (this->promotion_calls.size() > calls) {
+        calls = this->promotion_calls.size();
+        shortest = std::chrono::duration_cast<milliseconds>(
+            this->manager->Lease().HeldUntil() - now);
+      }
+    }
+    CPPUNIT_ASSERT(shortest < LeaderLease::kLifetime);
+    CPPUNIT_ASSERT(shortest >=
+                   LeaderLease::kCallTimeout + LeaderLease::kCallMargin);
+  }
+
   // Load pattern: the leader is asked to stop while it replaces a primary.
   // Guards against a successor that promotes before the call has arrived.
   void LeaseIsNotReleasedWhileACallIsUnderWay() {
