Keep the leader lease while a promotion call may be executed

Cause: at a planned stop the lease was released while a promotion call was under way, or right after one that was given up. A successor acquires a released lease at once and promotes 1.6 s later; the platform could execute the call of the former leader after that.

Ruled out: giving up the call and releasing at once. A reset does not withdraw what the platform's system has received (measured on loopback: the server still reads it).

Change: after the request to release, no call is started or written. The release is published when all calls were answered or had not been sent, or 2 s (kCallSettleTime) after the last one without an answer. If that takes longer than the lease, the lease expires and a rival waits for 5.7 s. Meanwhile the VM goes on granting operations, but renews nothing and changes no primary.

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -122,7 +122,11 @@
     this->was_leader = is_leader;
     this->watches.clear();
   }
-  if (!is_leader || this->is_lease_released) {
+  if (this->is_lease_released) {
+    this->PublishReleaseWhenSettled();
+    return;
+  }
+  if (!is_leader) {
     return;
   }
   for (const auto& [service, definition] :
@@ -155,7 +159,7 @@
       // The release waited for the version that this write leaves behind.
       if (outcome.kind == WriteOutcome::Kind::kDone) {
         this->lease.OnWritten(record, outcome.version, now);
-        this->PublishRelease();
+        this->PublishReleaseWhenSettled();
       }
       return;
     }
@@ -225,8 +229,16 @@
   if (std::exchange(this->is_lease_released, true) || !this->IsLeader()) {
     return;
   }
-  // A write under way changes the version on which the release depends.
-  if (!this->is_renewal_pending) {
+  this->promotion_caller.Stop();
+  this->watches.clear();
+  this->PublishReleaseWhenSettled();
+}
+
+void FailoverManager::PublishReleaseWhenSettled() {
+  // A write under way changes the version on which the release depends. A
+  // successor acquires a released lease at once, and its calls must not be
+  // followed by one of this VM.
+  if (!this->is_renewal_pending && this->promotion_caller.IsSettled()) {
     this->PublishRelease();
   }
 }
@@ -246,7 +258,6 @@
             {"row_version", model::VersionText(this->lease.Version())},
             {"reason", "released"}});
   this->was_leader = false;
-  this->watches.clear();
   this->WriteLeader(record, [this](const WriteOutcome& outcome) {
     if (outcome.kind == WriteOutcome::Kind::kDone) {
       this->on_released();
--- a/programs/laburnumkeel-proxy/failover_manager.h
+++ b/programs/laburnumkeel-proxy/failover_manager.h
@@ -42,8 +42,9 @@
   // This VM is about to stop: it does not acquire the leader lease any more.
   void AcquireNoMore() { this->may_acquire = false; }
 
-  // Stops acting as the leader at once and publishes that the leader lease is
-  // free.
+  // Stops changing primaries at once, and publishes that the leader lease is
+  // free as soon as no promotion call of this VM can be executed any more. If
+  // that takes too long, the lease expires.
   void Release();
 
   bool IsLeader() const;
@@ -74,6 +75,7 @@
 
  private:
   void Renew(kernel::Instant now);
+  void PublishReleaseWhenSettled();
   void PublishRelease();
   // True when the leader lease is free and this VM has waited long enough for a
   // VM with more processor capacity to acquire it first.
--- a/programs/laburnumkeel-proxy/promotion_caller.cpp
+++ b/programs/laburnumkeel-proxy/promotion_caller.cpp
@@ -1,5 +1,6 @@
 #include "programs/laburnumkeel-proxy/promotion_caller.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "laburnumkeel/kernel/event_log.h"
@@ -17,7 +18,7 @@
     : context(context), lease(lease) {}
 
 bool PromotionCaller::MayCall(const std::string& service) const {
-  if (!this->lease.MayCall(this->context.clock.Now())) {
+  if (this->is_stopped || !this->lease.MayCall(this->context.clock.Now())) {
     return false;
   }
   const auto call = this->calls.find(service);
@@ -39,7 +40,9 @@
   call.token = this->lease.Record()->token;
   call.expires_at = called + promotion::LeaderLease::kCallTimeout;
   request.timeout = promotion::LeaderLease::kCallTimeout;
-  request.may_send = [this, &call] { return this->IsInTime(call); };
+  request.may_send = [this, &call] {
+    return !this->is_stopped && this->IsInTime(call);
+  };
   this->context.metrics.Count("promotion_calls");
   LogEvent(kPromotionCalled,
            {{"service", service},
@@ -73,7 +76,7 @@
 void PromotionCaller::OnEnded(const std::string& service,
                               const std::string& endpoint_id,
                               std::uint64_t token, Instant called,
-                              const transport::HttpAnswer& answer) const {
+                              const transport::HttpAnswer& answer) {
   const Instant now = this->context.clock.Now();
   LogEvent(kPromotionCallEnded,
            {{"service", service},
@@ -83,6 +86,16 @@
             {"sent", !answer.is_unsent},
             {"elapsed_ms", kernel::ToMilliseconds(now - called)},
             {"leads", this->lease.IsHeld(now)}});
+  if (answer.status == 0 && !answer.is_unsent) {
+    this->settles_at = now + promotion::LeaderLease::kCallSettleTime;
+  }
+}
+
+bool PromotionCaller::IsSettled() const {
+  return this->context.clock.Now() >= this->settles_at &&
+         std::none_of(
+             this->calls.begin(), this->calls.end(),
+             [](const auto& entry) { return entry.second.channel->IsBusy(); });
 }
 
 }  // namespace laburnumkeel::proxy
--- a/programs/laburnumkeel-proxy/promotion_caller.h
+++ b/programs/laburnumkeel-proxy/promotion_caller.h
@@ -30,6 +30,12 @@
   // Gives up the calls that this VM may not make any more.
   void Tick();
 
+  // Sends no further call; those that were sent may still be answered.
+  void Stop() { this->is_stopped = true; }
+
+  // True when no call of this VM can be executed any more.
+  bool IsSettled() const;
+
  private:
   // The call for a service, under way or the last one.
   struct ServiceCall {
@@ -42,12 +48,15 @@
   bool IsInTime(const ServiceCall& call) const;
   void OnEnded(const std::string& service, const std::string& endpoint_id,
                std::uint64_t token, kernel::Instant called,
-               const transport::HttpAnswer& answer) const;
+               const transport::HttpAnswer& answer);
 
   ProxyContext& context;
   const promotion::LeaderLease& lease;
   // By service.
   std::map<std::string, ServiceCall> calls;
+  bool is_stopped = false;
+  // When the last call without an answer counts as not executed.
+  kernel::Instant settles_at;
 };
 
 }  // namespace laburnumkeel::proxy
--- a/src/laburnumkeel/promotion/leader_lease.h
+++ b/src/laburnumkeel/promotion/leader_lease.h
@@ -104,6 +104,10 @@
   // Returns true while the store holds no record written since it was restored.
   bool IsRestored() const { return this->is_restored; }
 
+  // The server of a call executes what it has received within this time after
+  // the call was given up without an answer.
+  static constexpr std::chrono::milliseconds kCallSettleTime{2000};
+
   // Returns true when a call that starts now is over before the lease may end.
   bool MayCall(kernel::Instant now) const {
     return now + kCallTimeout + kCallMargin <= this->held_until;
--- a/tests/proxy/late_promotion_call_test.cpp
+++ b/tests/proxy/late_promotion_call_test.cpp
@@ -122,6 +122,9 @@
     this->manager->Release();
     this->Poll();
     CPPUNIT_ASSERT_EQUAL(std::string("vm"), this->PublishedHolder());
+    this->context->clock.Advance(LeaderLease::kCallSettleTime);
+    this->Step();
+    CPPUNIT_ASSERT_EQUAL(std::string(), this->PublishedHolder());
   }
 
  private:
