Wait for calls of a predecessor whose lease was not released

Cause: a call that the platform has received cannot be withdrawn by its caller, and a successor did not take it into account.

Ruled out: a note in the store before each call, so that a successor waits only when there is one. The write can fail while the call would succeed, and the wait that it saves is at most 0.4 s, as the read leases have to expire anyway.

Change: a holder that acquired the lease any other way than from a release starts no call, and releases nothing itself, for 2 s (kCallSettleTime). After an expired lease this adds to the margin of the call and the difference between lifetime and acquisition, 2.7 s with clocks a tenth apart. What the platform holds back for longer arrives late all the same.

Tests: CallEndsBeforeARivalMayCall, SuccessorWaitsForCallsOfALeaseThatExpired, RestartedHolderWaitsForCallsOfItsPredecessor and SuccessorInARestoredStoreWaitsForCalls fail with the wait taken out. A test on sockets of a restarted leader was tried and left out: other waits of a process that has just started hid the difference.

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -237,8 +237,9 @@
 void FailoverManager::PublishReleaseWhenSettled() {
   // A write under way changes the version on which the release depends. A
   // successor acquires a released lease at once, and its calls must not be
-  // followed by one of this VM.
-  if (!this->is_renewal_pending && this->promotion_caller.IsSettled()) {
+  // followed by one of this VM or its predecessors.
+  if (!this->is_renewal_pending && this->promotion_caller.IsSettled() &&
+      this->lease.HavePredecessorsSettled(this->context.clock.Now())) {
     this->PublishRelease();
   }
 }
--- a/src/laburnumkeel/promotion/leader_lease.cpp
+++ b/src/laburnumkeel/promotion/leader_lease.cpp
@@ -85,6 +85,10 @@
                             std::uint64_t new_version, kernel::Instant sent) {
   if (!this->record || this->record->token != new_record.token) {
     this->acquired_by = this->NextAcquisition();
+    // A holder releases the lease only when its calls have settled.
+    this->predecessors_settle_at = this->acquired_by == Acquisition::kReleased
+                                       ? kernel::Instant()
+                                       : sent + kCallSettleTime;
   }
   this->is_restored = false;
   this->version = new_version;
--- a/src/laburnumkeel/promotion/leader_lease.h
+++ b/src/laburnumkeel/promotion/leader_lease.h
@@ -108,9 +108,16 @@
   // the call was given up without an answer.
   static constexpr std::chrono::milliseconds kCallSettleTime{2000};
 
-  // Returns true when a call that starts now is over before the lease may end.
+  // Returns true when no call of a predecessor can be executed any more.
+  bool HavePredecessorsSettled(kernel::Instant now) const {
+    return now >= this->predecessors_settle_at;
+  }
+
+  // Returns true when no call of a predecessor can be executed any more, and a
+  // call that starts now is over before the lease may end.
   bool MayCall(kernel::Instant now) const {
-    return now + kCallTimeout + kCallMargin <= this->held_until;
+    return this->HavePredecessorsSettled(now) &&
+           now + kCallTimeout + kCallMargin <= this->held_until;
   }
 
   // Time until which this VM holds the leader lease; zero when it does not.
@@ -148,6 +155,7 @@
   kernel::Instant changed_at;
   kernel::Instant held_until;
   Acquisition acquired_by = Acquisition::kReleased;
+  kernel::Instant predecessors_settle_at;
 };
 
 }  // namespace laburnumkeel::promotion
--- a/tests/promotion/leader_lease_test.cpp
+++ b/tests/promotion/leader_lease_test.cpp
@@ -29,6 +29,10 @@
   CPPUNIT_TEST(TokenIsNotGivenOutAgainInARestoredStore);
   CPPUNIT_TEST(CallEndsBeforeARivalMayCall);
   CPPUNIT_TEST(CallMayStartWhenTwoRenewalsHaveFailed);
+  CPPUNIT_TEST(SuccessorWaitsForCallsOfALeaseThatExpired);
+  CPPUNIT_TEST(RestartedHolderWaitsForCallsOfItsPredecessor);
+  CPPUNIT_TEST(SuccessorInARestoredStoreWaitsForCalls);
+  CPPUNIT_TEST(SuccessorOfAReleasedLeaseCallsAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -233,6 +237,10 @@
         last_start + LeaderLease::kCallTimeout * 11 / 10;
     CPPUNIT_ASSERT(last_start > milliseconds(0));
     CPPUNIT_ASSERT(last_end + LeaderLease::kCallMargin <= acquirable);
+    rival.OnWritten({"b", "10.0.0.2:1", 2, 0, {}, {}}, 11, At(0) + acquirable);
+    CPPUNIT_ASSERT(!rival.MayCall(At(0) + last_end + LeaderLease::kCallMargin +
+                                  LeaderLease::kCallSettleTime -
+                                  milliseconds(1)));
   }
 
   // Guards against bounds of calls that leave no time to make one while the
@@ -245,7 +253,52 @@
                                    LeaderLease::kCallTimeout));
   }
 
+  // Guards against a call that the platform has received and executes after
+  // that of the successor.
+  void SuccessorWaitsForCallsOfALeaseThatExpired() {
+    LeaderLease lease("b");
+    lease.Observe({"a", "10.0.0.1:1", 1, 500, {}, {}}, 10, 500, At(0));
+    AssertWaits(lease, Acquisition::kExpired);
+  }
+
+  void RestartedHolderWaitsForCallsOfItsPredecessor() {
+    LeaderLease lease("b");
+    lease.Observe({"b", "10.0.0.1:1", 1, 500, {}, {}}, 10, 500, At(0));
+    AssertWaits(lease, Acquisition::kRestarted);
+  }
+
+  void SuccessorInARestoredStoreWaitsForCalls() {
+    LeaderLease lease("b");
+    lease.Observe({"", "10.0.0.1:1", 1, 500, {}, {}, 1}, StoreVersion(2, 10),
+                  500, At(0));
+    AssertWaits(lease, Acquisition::kExpired);
+  }
+
+  void SuccessorOfAReleasedLeaseCallsAtOnce() {
+    LeaderLease lease("b");
+    lease.Observe({"", "10.0.0.1:1", 1, 500, {}, {}}, 10, 500, At(0));
+    Acquire(lease, At(6000));
+    CPPUNIT_ASSERT(lease.AcquiredBy() == Acquisition::kReleased);
+    CPPUNIT_ASSERT(lease.MayCall(At(6000)));
+  }
+
  private:
+  static void Acquire(LeaderLease& lease, kernel::Instant now) {
+    lease.OnWritten({"b", "10.0.0.1:1", 2, 6500, {}, {}, 2},
+                    StoreVersion(2, 20), now);
+  }
+
+  // A renewal does not shorten the wait.
+  static void AssertWaits(LeaderLease& lease, Acquisition acquisition) {
+    Acquire(lease, At(6000));
+    CPPUNIT_ASSERT(lease.AcquiredBy() == acquisition);
+    CPPUNIT_ASSERT(!lease.MayCall(At(6000)));
+    Acquire(lease, At(7000));
+    const auto settled = At(6000) + LeaderLease::kCallSettleTime;
+    CPPUNIT_ASSERT(!lease.MayCall(settled - milliseconds(1)));
+    CPPUNIT_ASSERT(lease.MayCall(settled));
+  }
+
   static kernel::Instant At(int ms) {
     return kernel::Instant(std::chrono::hours(1) + milliseconds(ms));
   }
