Withdraw orders to endpoints that the leader may not give any more

RESUME has no term. One that an earlier leader sent into a cut lets a replica receive again while the next leader counts it as paused, so that the former primary acknowledges commits which the promoted log lacks.

Cause: an order without a reply ended with a close of its connection, so that the system delivered it later; and an order that waited for a connection was written without another look at the lease.

Change: orders are sent only while the lease is held with the token of the order, asked right before the write, on a connection from which they can be withdrawn until the reply: it is reset when the order is given up (0.7 s) or the process ends. The socket options stand in one place, transport/withdrawal. Queries of the state stay as they were: they change nothing.

Tests: AbandonedOrderDoesNotArriveAfterACut and OrderThatWaitsForAConnectionIsNotSentWithoutTheLease fail when orders are sent like queries, as before (1 RESUME each, expected 0). That FailoverManager passes the right condition has no test of its own.

--- a/programs/laburnumkeel-proxy/endpoint_connection.cpp
+++ b/programs/laburnumkeel-proxy/endpoint_connection.cpp
@@ -67,6 +67,24 @@
   this->stream->Write(bytes);
 }
 
+void EndpointConnection::SendWithdrawable(const std::string& bytes,
+                                          std::chrono::milliseconds timeout,
+                                          ReplyHandler handler) {
+  if (!this->stream->EnableWithdrawal(timeout)) {
+    this->Close();
+    handler(std::nullopt);
+    return;
+  }
+  this->Send(
+      bytes, 0,
+      [this, handler = std::move(handler)](std::optional<EndpointReply> reply) {
+        if (!this->is_closed) {
+          this->stream->DisableWithdrawal();
+        }
+        handler(std::move(reply));
+      });
+}
+
 void EndpointConnection::Close() {
   if (this->is_closed) {
     return;
--- a/programs/laburnumkeel-proxy/endpoint_connection.h
+++ b/programs/laburnumkeel-proxy/endpoint_connection.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -49,6 +50,12 @@
   // statement, and the connection closes itself.
   void Send(const std::string& bytes, int setup_replies, ReplyHandler handler);
 
+  // Sends one statement that must not be executed after the connection was
+  // closed or this process has ended, nor after `timeout`.
+  void SendWithdrawable(const std::string& bytes,
+                        std::chrono::milliseconds timeout,
+                        ReplyHandler handler);
+
   // Closes the connection, upon which the endpoint rolls back an open
   // transaction. No handler is called afterwards.
   void Close();
--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -566,15 +566,29 @@
     // At most one query is in flight for each member; its reply or time-out
     // resets the time.
     change.queried_at[id] = now + kQueryTimeout;
-    this->RunOnMember(service, id, platform_adapter::StatusText());
+    this->QueryMember(service, id);
   }
 }
 
-void FailoverManager::RunOnMember(const std::string& service,
-                                  const std::string& endpoint_id,
-                                  const std::string& text) {
+void FailoverManager::QueryMember(const std::string& service,
+                                  const std::string& endpoint_id) {
   this->find_pool(service).RunInternal(
+      endpoint_id, platform_adapter::StatusText(), kQueryTimeout,
+      [this, service,
+       endpoint_id](const std::optional<statements::EndpointReply>& reply) {
+        this->OnMemberReply(service, endpoint_id, reply);
+      });
+}
+
+void FailoverManager::GiveOrder(const std::string& service,
+                                const std::string& endpoint_id,
+                                const std::string& text) {
+  this->find_pool(service).RunOrder(
       endpoint_id, text, kQueryTimeout,
+      [this, token = this->lease.Record()->token] {
+        return this->IsLeader() && !this->is_lease_released &&
+               this->lease.Record()->token == token;
+      },
       [this, service,
        endpoint_id](const std::optional<statements::EndpointReply>& reply) {
         this->OnMemberReply(service, endpoint_id, reply);
@@ -836,21 +850,21 @@
       if (change.members[step.endpoint].has_answered) {
         change.members[step.endpoint].has_answered = false;
         change.queried_at[step.endpoint] = now + kQueryTimeout;
-        this->RunOnMember(service, step.endpoint,
-                          platform_adapter::PauseText(change.next_term));
+        this->GiveOrder(service, step.endpoint,
+                        platform_adapter::PauseText(change.next_term));
       }
       return;
     case ChangeAction::kResume:
       change.members[step.endpoint].has_answered = false;
       change.queried_at[step.endpoint] = now + kQueryTimeout;
-      this->RunOnMember(service, step.endpoint, platform_adapter::ResumeText());
+      this->GiveOrder(service, step.endpoint, platform_adapter::ResumeText());
       return;
     case ChangeAction::kStepDown:
       if (change.members[step.endpoint].has_answered) {
         change.members[step.endpoint].has_answered = false;
         change.queried_at[step.endpoint] = now + kQueryTimeout;
-        this->RunOnMember(service, step.endpoint,
-                          platform_adapter::StepDownText(change.next_term));
+        this->GiveOrder(service, step.endpoint,
+                        platform_adapter::StepDownText(change.next_term));
       }
       return;
     case ChangeAction::kPromote:
@@ -911,9 +925,9 @@
     if (id == endpoint_id || !this->IsMember(*watch.change, id)) {
       continue;
     }
-    this->RunOnMember(service, id,
-                      id == former ? platform_adapter::StepDownText(term)
-                                   : platform_adapter::ResumeText());
+    this->GiveOrder(service, id,
+                    id == former ? platform_adapter::StepDownText(term)
+                                 : platform_adapter::ResumeText());
   }
   this->WritePrimary(
       {service, endpoint_id, term, false, 0},
--- a/programs/laburnumkeel-proxy/failover_manager.h
+++ b/programs/laburnumkeel-proxy/failover_manager.h
@@ -122,8 +122,10 @@
                 const std::string& endpoint_id) const;
   void QueryMembers(const std::string& service, ServiceChange& change,
                     kernel::Instant now);
-  void RunOnMember(const std::string& service, const std::string& endpoint_id,
-                   const std::string& text);
+  void QueryMember(const std::string& service, const std::string& endpoint_id);
+  // Sends a command that changes what an endpoint does.
+  void GiveOrder(const std::string& service, const std::string& endpoint_id,
+                 const std::string& text);
   void OnMemberReply(const std::string& service, const std::string& endpoint_id,
                      const std::optional<statements::EndpointReply>& reply);
   // Notes which commits a replica holds.
--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -155,8 +155,16 @@
     const std::string& endpoint_id, const std::string& text,
     milliseconds timeout,
     std::function<void(const std::optional<EndpointReply>&)> handler) {
+  this->RunOrder(endpoint_id, text, timeout, nullptr, std::move(handler));
+}
+
+void ServicePool::RunOrder(
+    const std::string& endpoint_id, const std::string& text,
+    milliseconds timeout, std::function<bool()> may_send,
+    std::function<void(const std::optional<EndpointReply>&)> handler) {
   auto job = std::make_shared<StatementJob>();
   job->is_internal = true;
+  job->may_send = std::move(may_send);
   job->statement.text = text;
   job->endpoint_id = endpoint_id;
   job->arrived = this->context.clock.Now();
@@ -565,6 +573,10 @@
     const std::shared_ptr<EndpointConnection>& connection) {
   job->is_waiting_for_connection = false;
   job->connection = connection;
+  if (job->may_send) {
+    this->SendOrder(job);
+    return;
+  }
   if (job->is_internal) {
     this->SendStatement(job, std::nullopt);
     return;
@@ -585,6 +597,23 @@
   this->SendStatement(job, freshness.read_after);
 }
 
+void ServicePool::SendOrder(const JobPointer& job) {
+  if (!job->may_send()) {
+    this->Fail(job, ErrorCode::kBusy, "the order may not be given any more");
+    return;
+  }
+  job->is_sent = true;
+  ++job->attempts;
+  job->attempt_started = this->context.clock.Now();
+  job->connection->SendWithdrawable(
+      platform_adapter::EncodeQuery(platform_adapter::kInternalStatementId,
+                                    job->statement.text, std::nullopt),
+      std::chrono::duration_cast<milliseconds>(job->deadline - job->arrived),
+      [this, job](const std::optional<EndpointReply>& reply) {
+        this->OnReply(job, reply);
+      });
+}
+
 void ServicePool::SendBegin(const JobPointer& job) {
   const Instant now = this->context.clock.Now();
   const Freshness freshness = this->FreshnessFor(*job, job->endpoint_id, now);
--- a/programs/laburnumkeel-proxy/service_pool.h
+++ b/programs/laburnumkeel-proxy/service_pool.h
@@ -48,6 +48,14 @@
       std::function<void(const std::optional<statements::EndpointReply>&)>
           handler);
 
+  // As RunInternal, for a command that acts for the leader: it is not sent when
+  // `may_send` returns false right before that, and withdrawn after `timeout`.
+  void RunOrder(
+      const std::string& endpoint_id, const std::string& text,
+      std::chrono::milliseconds timeout, std::function<bool()> may_send,
+      std::function<void(const std::optional<statements::EndpointReply>&)>
+          handler);
+
   // Times out and retries statements, opens and closes connections, and
   // refreshes the samples of the primary's log position.
   void Tick(kernel::Instant now);
@@ -169,6 +177,7 @@
 
   void Dispatch(const JobPointer& job,
                 const std::shared_ptr<EndpointConnection>& connection);
+  void SendOrder(const JobPointer& job);
   void SendBegin(const JobPointer& job);
   void SendStatement(const JobPointer& job,
                      const std::optional<model::LogPosition>& read_after);
--- a/programs/laburnumkeel-proxy/statement_job.h
+++ b/programs/laburnumkeel-proxy/statement_job.h
@@ -65,6 +65,9 @@
   // A statement of the proxy itself, which may use a connection of any account
   // to `endpoint_id`; `statement.text` is sent without a client's statement id.
   bool is_internal = false;
+  // For an internal statement that acts for the leader: whether it may still be
+  // sent.
+  std::function<bool()> may_send;
   std::function<void(JobResult result)> done;
 
   // State of the attempts.
--- a/src/laburnumkeel/transport/http_channel.cpp
+++ b/src/laburnumkeel/transport/http_channel.cpp
@@ -1,9 +1,5 @@
 #include "laburnumkeel/transport/http_channel.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <boost/algorithm/string/case_conv.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -13,6 +9,7 @@
 #include <utility>
 
 #include "laburnumkeel/transport/socket_address.h"
+#include "laburnumkeel/transport/withdrawal.h"
 
 namespace laburnumkeel::transport {
 
@@ -57,8 +54,8 @@
       return;
     }
     const auto endpoint = ParseSocketAddress(this->address);
-    if (!endpoint ||
-        (call.is_withdrawable && !this->MakeWithdrawable(*endpoint, call))) {
+    if (!endpoint || (call.is_withdrawable &&
+                      !this->MakeWithdrawable(*endpoint, call.timeout))) {
       this->Finish({});
       return;
     }
@@ -87,24 +84,12 @@
   }
 
  private:
-  // Opens the socket such that closing it discards what is not acknowledged.
   bool MakeWithdrawable(const asio::ip::tcp::endpoint& endpoint,
-                        const HttpCall& call) {
+                        std::chrono::milliseconds timeout) {
     this->is_withdrawable = true;
-    auto& socket = this->stream.socket();
     beast::error_code error;
-    socket.open(endpoint.protocol(), error);
-    if (error) {
-      return false;
-    }
-    socket.set_option(asio::socket_base::linger(true, 0), error);
-    if (error) {
-      return false;
-    }
-    // Also ends the connection of a process that is stopped.
-    const auto timeout_ms = static_cast<unsigned>(call.timeout.count());
-    return setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
-                      &timeout_ms, sizeof timeout_ms) == 0;
+    this->stream.socket().open(endpoint.protocol(), error);
+    return !error && EnableWithdrawal(this->stream.socket(), timeout);
   }
 
   void Write() {
@@ -158,9 +143,7 @@
     }
     if (answer.status != 0 && this->is_withdrawable) {
       // Nothing is left to withdraw, so that the connection ends in order.
-      beast::error_code ignored;
-      this->stream.socket().set_option(asio::socket_base::linger(false, 0),
-                                       ignored);
+      DisableWithdrawal(this->stream.socket());
     }
     if (!this->is_usable) {
       this->stream.close();
--- a/src/laburnumkeel/transport/line_stream.cpp
+++ b/src/laburnumkeel/transport/line_stream.cpp
@@ -7,6 +7,7 @@
 
 #include "laburnumkeel/kernel/event_log.h"
 #include "laburnumkeel/transport/events.h"
+#include "laburnumkeel/transport/withdrawal.h"
 
 namespace laburnumkeel::transport {
 
@@ -132,12 +133,24 @@
   }
   this->is_closed = true;
   error_code ignored;
-  this->socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  if (!this->is_withdrawable) {
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+  }
   this->socket.close(ignored);
   this->line_handler = nullptr;
   this->close_handler = nullptr;
 }
 
+bool LineStream::EnableWithdrawal(std::chrono::milliseconds timeout) {
+  this->is_withdrawable = true;
+  return transport::EnableWithdrawal(this->socket, timeout);
+}
+
+void LineStream::DisableWithdrawal() {
+  this->is_withdrawable = false;
+  transport::DisableWithdrawal(this->socket);
+}
+
 void LineStream::CloseAfterWrite() {
   this->is_closing = true;
   if (!this->is_writing) {
--- a/src/laburnumkeel/transport/line_stream.h
+++ b/src/laburnumkeel/transport/line_stream.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -40,6 +41,11 @@
   // Closes the connection at once and releases both handlers.
   void Close();
 
+  // What is written from now on can be withdrawn; see EnableWithdrawal. Returns
+  // false when the system refuses that.
+  bool EnableWithdrawal(std::chrono::milliseconds timeout);
+  void DisableWithdrawal();
+
   // Closes the connection when all bytes are sent; input is ignored from now
   // on.
   void CloseAfterWrite();
@@ -65,6 +71,7 @@
   bool is_writing = false;
   bool is_closed = false;
   bool is_closing = false;
+  bool is_withdrawable = false;
 };
 
 }  // namespace laburnumkeel::transport
