--- a/src/laburnumkeel/promotion/leader_lease.cpp
+++ b/src/laburnumkeel/promotion/leader_lease.cpp
@@ -12,8 +12,8 @@
       return "released";
     case Acquisition::kExpired:
       return "expired";
-    case Acquisition::kRestarted:
-      return "restarted";
+    case Acquisition::kOwn:
+      return "own";
   }
   return "unknown";
 }
@@ -105,7 +105,7 @@
   if (!this->record || this->record->holder.empty()) {
     return Acquisition::kReleased;
   }
-  return this->record->holder == this->vm ? Acquisition::kRestarted
+  return this->record->holder == this->vm ? Acquisition::kOwn
                                           : Acquisition::kExpired;
 }
 
--- a/src/laburnumkeel/promotion/leader_lease.h
+++ b/src/laburnumkeel/promotion/leader_lease.h
@@ -41,8 +41,8 @@
   kReleased,
   // Its lease expired, or the store was restored and may lack another holder.
   kExpired,
-  // It was an earlier process of this VM.
-  kRestarted,
+  // It was this VM itself, or an earlier process of it.
+  kOwn,
 };
 
 // The name in log lines.
--- a/tests/promotion/leader_lease_test.cpp
+++ b/tests/promotion/leader_lease_test.cpp
@@ -264,7 +264,7 @@
   void RestartedHolderWaitsForCallsOfItsPredecessor() {
     LeaderLease lease("b");
     lease.Observe({"b", "10.0.0.1:1", 1, 500, {}, {}}, 10, 500, At(0));
-    AssertWaits(lease, Acquisition::kRestarted);
+    AssertWaits(lease, Acquisition::kOwn);
   }
 
   void SuccessorInARestoredStoreWaitsForCalls() {
