--- a/tests/transport/withdrawn_call_test.cpp
+++ b/tests/transport/withdrawn_call_test.cpp
@@ -3,9 +3,14 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <chrono>
 #include <string>
+#include <thread>
 
 #include "laburnumkeel/transport/http_channel.h"
 #include "laburnumkeel/transport/http_responder.h"
@@ -15,6 +20,7 @@
 namespace laburnumkeel::transport {
 namespace {
 
+using boost::asio::ip::tcp;
 using std::chrono::milliseconds;
 using testing::CutLink;
 
@@ -22,6 +28,7 @@
 class WithdrawnCallTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(WithdrawnCallTest);
   CPPUNIT_TEST(CallOfAKilledProcessDoesNotArrive);
+  CPPUNIT_TEST(CallOfAStoppedProcessDoesNotArrive);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -33,21 +40,41 @@
   // Guards against bytes that the system delivers for a process that was
   // killed.
   void CallOfAKilledProcessDoesNotArrive() {
-    const pid_t child = fork();
-    CPPUNIT_ASSERT(child >= 0);
-    if (child == 0) {
-      this->SendAndHang();
-    }
+    const pid_t child = Fork(this->link.Address(), kLongTimeout, "body");
     this->RunUntilSent();
-    kill(child, SIGKILL);
-    int status = 0;
-    CPPUNIT_ASSERT_EQUAL(child, waitpid(child, &status, 0));
+    End(child);
     this->Run(milliseconds(50));
     this->link.Heal();
     this->Run(milliseconds(50));
     CPPUNIT_ASSERT_EQUAL(0, this->calls);
   }
 
+  // Load pattern: a process is stopped while a server that does not read holds
+  // up most of a request. Guards against a system that goes on delivering it.
+  void CallOfAStoppedProcessDoesNotArrive() {
+    tcp::acceptor acceptor(this->loop);
+    acceptor.open(tcp::v4());
+    acceptor.set_option(tcp::socket::receive_buffer_size(kSmallBufferBytes));
+    acceptor.bind({boost::asio::ip::address_v4::loopback(), 0});
+    acceptor.listen();
+    const std::string body(kLargeBodyBytes, 'x');
+    const pid_t child =
+        Fork("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+             milliseconds(1000), body);
+    std::this_thread::sleep_for(milliseconds(300));
+    kill(child, SIGSTOP);
+    std::this_thread::sleep_for(milliseconds(4000));
+    tcp::socket socket = acceptor.accept();
+    std::string received;
+    boost::system::error_code error;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(received),
+                      boost::asio::transfer_at_least(body.size()), error);
+    End(child);
+    CPPUNIT_ASSERT(error);
+    CPPUNIT_ASSERT(!received.empty());
+    CPPUNIT_ASSERT(received.size() < body.size());
+  }
+
  private:
   void Run(milliseconds duration) {
     this->loop.restart();
@@ -61,19 +88,36 @@
     CPPUNIT_ASSERT(this->link.SentBytes() > 0);
   }
 
-  // Runs in the child process.
-  [[noreturn]] void SendAndHang() const {
+  // Starts a process that makes a call and waits.
+  static pid_t Fork(const std::string& address, milliseconds timeout,
+                    const std::string& body) {
+    const pid_t child = fork();
+    CPPUNIT_ASSERT(child >= 0);
+    if (child > 0) {
+      return child;
+    }
     boost::asio::io_context child_loop;
-    HttpChannel channel(child_loop, this->link.Address());
+    HttpChannel channel(child_loop, address);
     HttpCall call;
     call.method = "POST";
-    call.timeout = milliseconds(60'000);
+    call.body = body;
+    call.timeout = timeout;
     call.is_withdrawable = true;
     channel.Send(call, [](const HttpAnswer&) {});
-    child_loop.run_for(milliseconds(60'000));
+    child_loop.run_for(kLongTimeout);
     _exit(0);
   }
 
+  static void End(pid_t child) {
+    kill(child, SIGKILL);
+    int status = 0;
+    CPPUNIT_ASSERT_EQUAL(child, waitpid(child, &status, 0));
+  }
+
+  static constexpr milliseconds kLongTimeout{60'000};
+  static constexpr int kSmallBufferBytes = 2304;
+  static constexpr std::size_t kLargeBodyBytes = 30'000;
+
   boost::asio::io_context loop;
   int calls = 0;
   const std::string address = testing::FreeAddress();
