Test that the leader's orders stay behind when its lease expires

Replicas are to be paused while all connections to them are busy; the order waits for a new one. With the lease it is given (OrderThatWaitsForAConnectionIsGivenWithTheLease), after the lease has expired it is not; the latter fails with the condition taken out.

--- a/tests/proxy/failover_manager_test.cpp
+++ b/tests/proxy/failover_manager_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -17,6 +18,8 @@
   CPPUNIT_TEST(ReleasedLeaseEndsBeforeTheStoreHasAnswered);
   CPPUNIT_TEST(ReleaseWaitsForARenewalUnderWay);
   CPPUNIT_TEST(ReplyAfterTheLeaseExpiredGivesNoOrders);
+  CPPUNIT_TEST(OrderThatWaitsForAConnectionIsGivenWithTheLease);
+  CPPUNIT_TEST(OrderThatWaitsForAConnectionIsNotGivenAfterTheLeaseExpired);
   CPPUNIT_TEST(ReleaseEndsTheChangeUnderWay);
   CPPUNIT_TEST(SmallerVmLetsLargerOnesAcquireFirst);
   CPPUNIT_TEST(LeaderRenewsItsLeaseInARestoredStore);
@@ -73,6 +76,21 @@
     this->AssertNoFurtherOrders();
   }
 
+  void OrderThatWaitsForAConnectionIsGivenWithTheLease() {
+    this->LetOrdersWait();
+    this->Poll();
+    CPPUNIT_ASSERT(this->Orders() > 0);
+  }
+
+  // Load pattern: the leader is suspended while an order waits for a connection
+  // to its endpoint.
+  void OrderThatWaitsForAConnectionIsNotGivenAfterTheLeaseExpired() {
+    this->LetOrdersWait();
+    this->context->clock.Advance(promotion::LeaderLease::kLifetime);
+    this->Poll();
+    CPPUNIT_ASSERT_EQUAL(0, this->Orders());
+  }
+
   void ReleaseEndsTheChangeUnderWay() {
     this->BeginPlannedChange();
     this->AskMembers();
@@ -278,6 +296,30 @@
     this->members["p"].is_primary = true;
   }
 
+  // Replicas are to be paused, but all connections to them are busy.
+  void LetOrdersWait() {
+    this->BecomeLeader();
+    this->Run(milliseconds(1000));
+    // The primary is lost and the replicas answer, but the change cannot be
+    // announced yet.
+    this->members["p"].is_primary = false;
+    this->store->Refuse(503);
+    this->Run(milliseconds(1000));
+    this->databases["p"]->SetSilent(true);
+    this->Run(milliseconds(1000));
+    for (const char* id : {"q", "r"}) {
+      this->databases[id]->SetSilent(true);
+    }
+    this->Step();
+    this->store->Refuse(std::nullopt);
+    this->Step();
+    CPPUNIT_ASSERT_EQUAL(0, this->Orders());
+    this->manager->Tick(this->context->clock.Now());
+    for (const char* id : {"q", "r"}) {
+      this->databases[id]->SetSilent(false);
+    }
+  }
+
   // At most the orders that had left before may still arrive, one for each
   // endpoint.
   void AssertNoFurtherOrders() {
