Log and measure how long a VM lacks what the leader has read

Cause: logs tell that calls of the store fail, not whether the VM knows meanwhile that a newer configuration exists, and for how long. The hypotheses of the open incident differ in that. Change: table_outdated has the version of the VM and of the leader, the age of the leader's reading, and how the attempts end; the metric table_outdated_ms has the time until the VM has caught up.

--- a/programs/laburnumkeel-proxy/events.h
+++ b/programs/laburnumkeel-proxy/events.h
@@ -57,6 +57,10 @@
     6519, Severity::kWarning, "table_read_failed",
     "a table of the store could again not be read: what was asked for, what "
     "the leader has reported, and how much of the response arrived"};
+inline constexpr EventDefinition kTableOutdated{
+    6551, Severity::kWarning, "table_outdated",
+    "the leader has long reported a newer version of a table than this VM has "
+    "read: for how long, and how the attempts to read it end"};
 inline constexpr EventDefinition kStoreRestored{
     6527, Severity::kWarning, "store_restored",
     "the store was restored from a copy: its versions went back, and changes "
@@ -229,6 +233,7 @@
                                     kHistoryDropped,
                                     kTableReadInFull,
                                     kTableReadFailed,
+                                    kTableOutdated,
                                     kStoreRestored,
                                     kPrimaryPublishedAgain,
                                     kPromotionCalled,
--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -52,6 +52,9 @@
 // The row of a live endpoint can expire, unseen by this VM, in a longer time
 // without a reading of the table: two heartbeat intervals.
 constexpr milliseconds kMaximumReadGap{2400};
+// A table that is outdated for this long is logged, and again each time that
+// doubles.
+constexpr milliseconds kOutdatedNotice{1000};
 // Operators and databases write again within this time what a restored store
 // lacks.
 constexpr milliseconds kSettleTime{3000};
@@ -103,6 +106,7 @@
   this->is_leader = new_is_leader;
   this->ReadAgainWhenSettled(now);
   for (TableReader* reader : {&this->operator_rows, &this->endpoint_rows}) {
+    this->ObserveOutdated(*reader, now);
     if (this->IsDue(*reader, now)) {
       this->ReadTable(*reader, now);
     }
@@ -135,6 +139,39 @@
   merge(this->endpoint_rows, endpoint_state);
 }
 
+void StoreLink::ObserveOutdated(TableReader& reader, Instant now) {
+  if (reader.peer_state.version <= reader.version) {
+    if (reader.outdated_since != Instant()) {
+      this->context.metrics.Observe("table_outdated_ms",
+                                    static_cast<double>(kernel::ToMilliseconds(
+                                        now - reader.outdated_since)));
+    }
+    reader.outdated_since = Instant();
+    return;
+  }
+  if (reader.outdated_since == Instant()) {
+    reader.outdated_since = now;
+    reader.outdated_log_at = now + kOutdatedNotice;
+  }
+  if (now < reader.outdated_log_at) {
+    return;
+  }
+  reader.outdated_log_at = now + (now - reader.outdated_since);
+  const auto& configuration = this->context.configuration;
+  LogEvent(
+      kTableOutdated,
+      {{"table", reader.table},
+       {"version", model::VersionText(reader.version)},
+       {"leader_version", model::VersionText(reader.peer_state.version)},
+       {"configuration", configuration ? configuration->version : 0},
+       {"outdated_ms", kernel::ToMilliseconds(now - reader.outdated_since)},
+       {"leader_read_ms",
+        kernel::ToMilliseconds(now - reader.peer_state.read_at)},
+       {"failures", reader.failures},
+       {"status", reader.failures > 0 ? reader.failure_status : 0},
+       {"reading", reader.channel->IsBusy()}});
+}
+
 void StoreLink::ConfirmCurrent(const TableReader& reader,
                                const TableState& reading) {
   if (!reader.is_loaded || reading.version > reader.version) {
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -187,6 +187,10 @@
     // last of them.
     std::uint64_t failures = 0;
     int failure_status = 0;
+    // Since when the leader reports a newer version than this VM has read, and
+    // when that is logged next; zero while it does not.
+    kernel::Instant outdated_since;
+    kernel::Instant outdated_log_at;
   };
 
   struct PendingWrite {
@@ -209,6 +213,8 @@
   void ReadTable(TableReader& reader, kernel::Instant now);
   void OnTableRead(TableReader& reader, const transport::HttpAnswer& answer);
   void OnReadFailed(TableReader& reader, const transport::HttpAnswer& answer);
+  // Logs and measures for how long this VM lacks what the leader has read.
+  void ObserveOutdated(TableReader& reader, kernel::Instant now);
   // Records that this VM knows all rows as of the reading of a table, by this
   // or another VM.
   void ConfirmCurrent(const TableReader& reader, const TableState& reading);
