Show that a large configuration is never read over a crowded link

Callers of a VM with a filled link see the configuration of before for as long as the link is filled. Cause: the time limit of 0.7 s covers the whole response, and each attempt starts from the beginning.

--- a/tests/proxy/store_link_test.cpp
+++ b/tests/proxy/store_link_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
+#include <limits>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -38,6 +39,7 @@
   CPPUNIT_TEST(FleetOnSeveralPagesIsReadInFull);
   CPPUNIT_TEST(VmThatReturnsAtAnotherAddressRegistersIt);
   CPPUNIT_TEST(ChangesMissedDuringARefusalAreReadOverANarrowLink);
+  CPPUNIT_TEST(LargeConfigurationIsReadOverACrowdedLink);
   CPPUNIT_TEST(ChangeBelowTheKnownVersionIsReadAfterARestore);
   CPPUNIT_TEST(ChangeAfterARestoreIsReportedToOtherVms);
   CPPUNIT_TEST(WriteThatExpectsALostVersionConflicts);
@@ -304,6 +306,31 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{kNewest}, remote.configuration->version);
   }
 
+  // Guards against a configuration that is never read because each attempt is
+  // given up while the response still arrives.
+  void LargeConfigurationIsReadOverACrowdedLink() {
+    constexpr std::size_t kConfigurationBytes = 200000;
+    ProxyContext remote{platform_adapter::ProxySettings()};
+    FakeStore remote_store(remote.loop);
+    // At this rate the response takes 1.1 s.
+    testing::NarrowLink crowded(remote.loop, remote_store.Address(),
+                                std::numeric_limits<std::size_t>::max(),
+                                milliseconds(60));
+    remote.settings.store_address = crowded.Address();
+    remote.clock.Pause();
+    StoreLink reader(remote, {[] {}, [](const auto*, auto, auto) {}});
+    remote_store.Put(
+        "op", "config",
+        {{"version", 1}, {"comment", std::string(kConfigurationBytes, '.')}});
+    for (int attempt = 0; attempt < 3 && !remote.configuration; ++attempt) {
+      reader.Tick(remote.clock.Now(), false);
+      remote.loop.restart();
+      remote.loop.run_for(milliseconds(1500));
+      remote.clock.Advance(kReadInterval);
+    }
+    CPPUNIT_ASSERT(remote.configuration != nullptr);
+  }
+
   // Guards against changes that are skipped because the restored store gives
   // out their versions a second time.
   void ChangeBelowTheKnownVersionIsReadAfterARestore() {
--- a/tests/support/narrow_link.h
+++ b/tests/support/narrow_link.h
@@ -6,7 +6,9 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -19,15 +21,17 @@
 
 // A TCP relay on an event loop that carries only so many bytes of a response
 // before its client gives up. The rest does not arrive, and the connection
-// stays open.
+// stays open. `pause` passes between two parts of at most 16 KiB.
 class NarrowLink {
  public:
   NarrowLink(boost::asio::io_context& loop, const std::string& target,
-             std::size_t response_bytes)
+             std::size_t response_bytes,
+             std::chrono::milliseconds pause = std::chrono::milliseconds(0))
       : loop(loop),
         address(FreeAddress()),
         target(*transport::ParseSocketAddress(target)),
         response_bytes(response_bytes),
+        pause(pause),
         acceptor(loop, *transport::ParseSocketAddress(this->address)) {
     this->Accept();
   }
@@ -39,10 +43,13 @@
 
   class Relay : public std::enable_shared_from_this<Relay> {
    public:
-    Relay(Socket client, Socket server, std::size_t response_bytes)
+    Relay(Socket client, Socket server, std::size_t response_bytes,
+          std::chrono::milliseconds pause)
         : client(std::move(client)),
           server(std::move(server)),
-          response_bytes(response_bytes) {}
+          response_bytes(response_bytes),
+          pause(pause),
+          timer(this->client.get_executor()) {}
 
     void Start() {
       this->ReadRequest();
@@ -86,7 +93,10 @@
                 self->client, boost::asio::buffer(self->response, allowed),
                 [self](boost::system::error_code write_error, std::size_t) {
                   if (!write_error) {
-                    self->ReadResponse();
+                    self->timer.expires_after(self->pause);
+                    self->timer.async_wait([self](boost::system::error_code) {
+                      self->ReadResponse();
+                    });
                   }
                 });
           });
@@ -97,6 +107,8 @@
     Socket client;
     Socket server;
     const std::size_t response_bytes;
+    const std::chrono::milliseconds pause;
+    boost::asio::steady_timer timer;
     // Bytes of the present response that the client was sent.
     std::size_t forwarded = 0;
     std::array<char, kBufferBytes> request{};
@@ -113,7 +125,7 @@
           server.connect(this->target, error);
           if (!error) {
             std::make_shared<Relay>(std::move(client), std::move(server),
-                                    this->response_bytes)
+                                    this->response_bytes, this->pause)
                 ->Start();
           }
           this->Accept();
@@ -124,6 +136,7 @@
   const std::string address;
   const boost::asio::ip::tcp::endpoint target;
   const std::size_t response_bytes;
+  const std::chrono::milliseconds pause;
   boost::asio::ip::tcp::acceptor acceptor;
 };
 
