Show that a withdrawn key goes on working in an open transaction

Callers whose key was withdrawn can read, write and commit for as long as they keep a transaction open. Cause: only the first statement of a transaction is checked against the configuration.

--- a/tests/proxy/client_session_test.cpp
+++ b/tests/proxy/client_session_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/write.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -23,6 +24,8 @@
   CPPUNIT_TEST(UnknownStatementKeepsTheSession);
   CPPUNIT_TEST(DismissedSessionRunsNothingMore);
   CPPUNIT_TEST(AbortedTransactionFailsItsNextStatement);
+  CPPUNIT_TEST(WithdrawnKeyEndsAnOpenTransaction);
+  CPPUNIT_TEST(ChangedRouteAppliesFromTheNextTransaction);
   CPPUNIT_TEST(SessionStateIsLimited);
   CPPUNIT_TEST(StatementWithoutMemoryIsRefused);
   CPPUNIT_TEST(EvictedClientIsTold);
@@ -134,6 +137,36 @@
                    std::string::npos);
   }
 
+  // Guards against a key that works for as long as a transaction stays open.
+  void WithdrawnKeyEndsAnOpenTransaction() {
+    this->Grant();
+    this->Send("STARTUP db key\r\nQUERY 1 BEGIN\r\n");
+    CPPUNIT_ASSERT(this->session->IsIdleInTransaction());
+    this->Change([](model::ProxyConfiguration& configuration) {
+      configuration.account_of_key.erase("key");
+    });
+    this->TakeReceived();
+    this->Send("QUERY 2 WRITE a b\r\n");
+    CPPUNIT_ASSERT(!this->pool->HasWork());
+    CPPUNIT_ASSERT(this->TakeReceived().find("ERROR DENIED") !=
+                   std::string::npos);
+    this->Send("QUERY 3 COMMIT\r\n");
+    CPPUNIT_ASSERT(this->TakeReceived().find("ERROR ABORTED") !=
+                   std::string::npos);
+  }
+
+  // Guards against a transaction that is ended by a change of its route.
+  void ChangedRouteAppliesFromTheNextTransaction() {
+    this->Grant();
+    this->Send("STARTUP db key\r\nQUERY 1 BEGIN\r\n");
+    this->Change([](model::ProxyConfiguration& configuration) {
+      configuration.routes.erase("db");
+    });
+    this->TakeReceived();
+    this->Send("QUERY 2 WRITE a b\r\n");
+    CPPUNIT_ASSERT(this->pool->HasWork());
+  }
+
   // Guards against a client whose values take all memory.
   void SessionStateIsLimited() {
     admission::ClientLimits limits = this->context->clients.Limits();
@@ -185,6 +218,14 @@
   }
 
  private:
+  // Replaces the configuration by a changed copy.
+  void Change(const std::function<void(model::ProxyConfiguration&)>& change) {
+    auto changed = std::make_shared<model::ProxyConfiguration>(
+        *this->context->configuration);
+    change(*changed);
+    this->context->configuration = changed;
+  }
+
   // Grants the account one operation.
   void Grant() {
     this->gate->OnGrant("acc", {{}, 1, false}, this->context->clock.Now());
