Give up a page of rows only when it stops arriving

Callers of a VM whose link is filled were served as an older configuration allows, and a VM that started there had none. Cause: the time limit of 0.7 s of a call covers the whole response, and a retry starts from the beginning: over a link that needs longer, every attempt fails. Change: connecting, sending and each part of the response have 0.7 s; a page as a whole has 4 s. This works because a reading in full counts from when it was sent, however long it takes. Looked for elsewhere: the pages of the fleet table and of single readings get the same; the feed of changes keeps its limit, since what it asks for grows with time and a failure leads to a page; writes and calls to databases are small. That this is the reported fault is suspected, not shown.

--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -42,6 +42,9 @@
 // Two orders of magnitude above the usual response time of the store.
 constexpr milliseconds kCallTimeout{700};
 constexpr milliseconds kWriteTimeout{1500};
+// A page of rows that still arrives is not given up: the next attempt starts
+// from the beginning, over the same link.
+constexpr milliseconds kPageTimeout{4000};
 constexpr milliseconds kRetryDelay{250};
 // Live endpoints whose row expired during a store outage register again within
 // about 2 s of its end.
@@ -291,6 +294,7 @@
       reader.is_due_now = false;
     }
     call.target = platform_adapter::RowsTarget(reader.table, reader.load_after);
+    call.progress_timeout = kPageTimeout;
   } else {
     if (this->is_leader) {
       reader.wait = reader.leader_wait;
@@ -641,6 +645,7 @@
   HttpCall call;
   call.target = platform_adapter::RowsTarget(kFleetTable, after);
   call.timeout = kCallTimeout;
+  call.progress_timeout = kPageTimeout;
   this->context.metrics.Count("store_reads");
   this->fleet_channel.Send(call, [this, sent](const HttpAnswer& answer) {
     this->OnFleetPage(answer, sent);
@@ -793,6 +798,7 @@
   HttpCall call;
   call.target = platform_adapter::RowsTarget(table, "");
   call.timeout = kCallTimeout;
+  call.progress_timeout = kPageTimeout;
   this->context.metrics.Count("store_reads");
   this->single_read_channel.Send(
       call, [this, called_era = this->era,
--- a/src/laburnumkeel/transport/http_channel.cpp
+++ b/src/laburnumkeel/transport/http_channel.cpp
@@ -1,11 +1,12 @@
 #include "laburnumkeel/transport/http_channel.h"
 
+#include <algorithm>
 #include <boost/algorithm/string/case_conv.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
-#include <optional>
+#include <chrono>
 #include <utility>
 
 #include "laburnumkeel/transport/socket_address.h"
@@ -48,7 +49,10 @@
       this->request.body() = call.body;
       this->request.prepare_payload();
     }
-    this->stream.expires_after(call.timeout);
+    this->step_timeout = call.timeout;
+    this->deadline =
+        Clock::now() + call.progress_timeout.value_or(call.timeout);
+    this->LimitStep();
     if (this->is_connected) {
       this->Write();
       return;
@@ -84,6 +88,8 @@
   }
 
  private:
+  using Clock = std::chrono::steady_clock;
+
   bool MakeWithdrawable(const asio::ip::tcp::endpoint& endpoint,
                         std::chrono::milliseconds timeout) {
     this->is_withdrawable = true;
@@ -98,6 +104,7 @@
       return;
     }
     this->is_unsent = false;
+    this->LimitStep();
     http::async_write(this->stream, this->request,
                       [self = this->shared_from_this()](beast::error_code error,
                                                         std::size_t) {
@@ -109,33 +116,54 @@
                       });
   }
 
+  // Limits the next step of the call.
+  void LimitStep() {
+    this->stream.expires_at(
+        std::min(this->deadline, Clock::now() + this->step_timeout));
+  }
+
   void Read() {
     this->parser.emplace();
     this->parser->body_limit(kMaximumBodyBytes);
-    http::async_read(
+    this->parser->eager(true);
+    this->ReadPart();
+  }
+
+  void ReadPart() {
+    this->LimitStep();
+    http::async_read_some(
         this->stream, this->buffer, *this->parser,
         [self = this->shared_from_this()](beast::error_code error,
                                           std::size_t) {
-          const std::size_t received_bytes = self->parser->get().body().size();
           if (error) {
-            self->Finish({0, "", received_bytes});
+            self->Finish({0, "", self->parser->get().body().size()});
+          } else if (!self->IsBusy()) {
+            // The call was given up, and its connection is closed.
             return;
+          } else if (self->parser->is_done()) {
+            self->OnResponse();
+          } else {
+            self->ReadPart();
           }
-          self->is_usable = self->parser->keep_alive();
-          self->stream.expires_never();
-          auto& response = self->parser->get();
-          HttpAnswer answer{static_cast<int>(response.result_int()),
-                            std::move(response.body()), received_bytes};
-          for (const auto& field : response) {
-            std::string name(field.name_string());
-            boost::algorithm::to_lower(name);
-            answer.headers.insert_or_assign(std::move(name),
-                                            std::string(field.value()));
-          }
-          self->Finish(std::move(answer));
         });
   }
 
+  void OnResponse() {
+    this->is_usable = this->parser->keep_alive();
+    this->stream.expires_never();
+    auto& response = this->parser->get();
+    const std::size_t received_bytes = response.body().size();
+    HttpAnswer answer{static_cast<int>(response.result_int()),
+                      std::move(response.body()), received_bytes};
+    for (const auto& field : response) {
+      std::string name(field.name_string());
+      boost::algorithm::to_lower(name);
+      answer.headers.insert_or_assign(std::move(name),
+                                      std::string(field.value()));
+    }
+    this->Finish(std::move(answer));
+  }
+
   void Finish(HttpAnswer answer) {
     answer.is_unsent = this->is_unsent;
     if (answer.status == 0 || this->is_withdrawable) {
@@ -161,6 +189,8 @@
   beast::flat_buffer buffer;
   Handler handler;
   std::function<bool()> may_send;
+  Clock::duration step_timeout{0};
+  Clock::time_point deadline;
   bool is_unsent = true;
   bool is_connected = false;
   bool is_usable = true;
--- a/src/laburnumkeel/transport/http_channel.h
+++ b/src/laburnumkeel/transport/http_channel.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace laburnumkeel::transport {
@@ -20,6 +21,10 @@
   // The connection is closed when the response is not complete within this
   // time, which includes connecting.
   std::chrono::milliseconds timeout{1000};
+  // If set, the response may take this long as long as parts of it arrive:
+  // `timeout` is then the limit for connecting, for sending, and for each part
+  // of the response.
+  std::optional<std::chrono::milliseconds> progress_timeout;
   // The call must not reach the server after it was given up, or after this
   // process has ended. It gets a connection of its own, which is then reset, so
   // that the system discards what the server's system has not received.
