End an open transaction when its key is withdrawn

Callers whose key was withdrawn went on reading, writing and committing in a transaction that was open, for as long as it did not rest for 3 s. Cause: only the first statement of a transaction looks at the configuration. Class: a permission checked once for a state that lasts. Evidence: WithdrawnKeyEndsAnOpenTransaction fails before on each run and passes now. Change: each statement of a transaction, and its commit, finds its key's account again. When that is gone or another one, the transaction is rolled back and the client is told. A changed route still applies from the next transaction on, as the users ask. Looked for elsewhere: a statement that waits for its account's rate or for a connection was sent before; it waits 2 s at most.

--- a/programs/laburnumkeel-proxy/client_session.cpp
+++ b/programs/laburnumkeel-proxy/client_session.cpp
@@ -529,19 +529,28 @@
     this->ReplyError(ErrorCode::kNoDatabase, "the database was removed");
     return false;
   }
-  const auto owner = configuration->account_of_key.find(this->key);
-  if (owner == configuration->account_of_key.end() &&
-      !found->second.is_public) {
+  const auto owner = this->AccountFor(found->second);
+  if (!owner) {
     this->ReplyError(ErrorCode::kDenied, "unknown key");
     return false;
   }
   this->route = found->second;
-  this->account = owner == configuration->account_of_key.end()
-                      ? kAnonymousAccount
-                      : owner->second;
+  this->account = *owner;
   return true;
 }
 
+std::optional<std::string> ClientSession::AccountFor(
+    const model::DatabaseRoute& requested) const {
+  const auto& accounts =
+      this->environment.context.configuration->account_of_key;
+  const auto owner = accounts.find(this->key);
+  if (owner != accounts.end()) {
+    return owner->second;
+  }
+  return requested.is_public ? std::optional<std::string>(kAnonymousAccount)
+                             : std::nullopt;
+}
+
 void ClientSession::AdmitOperation(std::function<void()> next) {
   this->is_admitting = true;
   const std::weak_ptr<ClientSession> weak = this->shared_from_this();
@@ -606,7 +615,20 @@
   this->ReplyCompletion("-");
 }
 
+void ClientSession::DenyTransaction(bool is_commit) {
+  this->AbortTransaction("the key was withdrawn");
+  if (is_commit) {
+    this->state = TransactionState::kIdle;
+  }
+  this->ReplyError(ErrorCode::kDenied, "the key was withdrawn");
+}
+
 void ClientSession::Forward(Statement statement) {
+  if (this->state == TransactionState::kOpen &&
+      this->AccountFor(this->route) != this->account) {
+    this->DenyTransaction(statement.kind == StatementKind::kCommit);
+    return;
+  }
   std::optional<statements::PreparedShape> shape;
   if (statement.kind == StatementKind::kExecute) {
     const auto prepared = this->values.prepared.find(statement.name);
--- a/programs/laburnumkeel-proxy/client_session.h
+++ b/programs/laburnumkeel-proxy/client_session.h
@@ -127,6 +127,12 @@
   // configuration. Sends an error to the client and returns false if there are
   // none, or when the VM is about to stop.
   bool ResolveOperation();
+  // The account that the session's key belongs to at present; the anonymous one
+  // for an unknown key on a public route; empty when the key gives no access.
+  std::optional<std::string> AccountFor(
+      const model::DatabaseRoute& requested) const;
+  // Ends the open transaction because its key has lost the account.
+  void DenyTransaction(bool is_commit);
   // True when a new operation might not be answered before the VM stops.
   bool IsStopping() const;
   // Runs `next` when the operation is within its account's limit, and sends an
