Pass rows of the store on to a VM that the store refuses

Callers of a VM that the store refuses were served as an older configuration allows, withdrawn keys among it, until the store served the VM again. Cause: the leader tells a VM that there is something newer, and the store is the only place to get it from. Class: one path to what has to arrive in time. Change: a VM whose reading fails, and which the leader told of a newer version, asks a VM of its data centre and the leader in turn for the rows, once a second at most. The rows are complete as of a version of the same era and carry the age of the reading, so that departures, grace periods and read intervals count as from a reading of the VM's own. A VM that is behind or on a restored store gives none. Looked for elsewhere: endpoints and departures use the same path. Not the fleet table, on which leases depend, and not a VM that has read nothing yet.

--- a/programs/laburnumkeel-proxy/events.h
+++ b/programs/laburnumkeel-proxy/events.h
@@ -61,6 +61,13 @@
     6551, Severity::kWarning, "table_outdated",
     "the leader has long reported a newer version of a table than this VM has "
     "read: for how long, and how the attempts to read it end"};
+inline constexpr EventDefinition kRowsRelayed{
+    6552, Severity::kInformation, "rows_relayed",
+    "rows of a table were taken over from another VM, since the store fails "
+    "for this one"};
+inline constexpr EventDefinition kRelayFailed{
+    6553, Severity::kWarning, "relay_failed",
+    "another VM did not give the rows that the store does not give this one"};
 inline constexpr EventDefinition kStoreRestored{
     6527, Severity::kWarning, "store_restored",
     "the store was restored from a copy: its versions went back, and changes "
@@ -234,6 +241,8 @@
                                     kTableReadInFull,
                                     kTableReadFailed,
                                     kTableOutdated,
+                                    kRowsRelayed,
+                                    kRelayFailed,
                                     kStoreRestored,
                                     kPrimaryPublishedAgain,
                                     kPromotionCalled,
--- a/programs/laburnumkeel-proxy/fleet_exchange.cpp
+++ b/programs/laburnumkeel-proxy/fleet_exchange.cpp
@@ -402,10 +402,12 @@
   this->last_report = now;
   this->is_report_due = false;
   const Leader leader = this->CurrentLeader();
+  const bool is_own = leader.vm == this->context.settings.vm;
+  this->context.leader_address = is_own ? "" : leader.address;
   if (leader.vm.empty()) {
     return;
   }
-  if (leader.vm == this->context.settings.vm) {
+  if (is_own) {
     if (this->PrepareCoordinator(now)) {
       const peer::FleetReport report = this->MakeReport(now);
       this->ObserveLoads(report, now);
--- a/programs/laburnumkeel-proxy/proxy.cpp
+++ b/programs/laburnumkeel-proxy/proxy.cpp
@@ -160,7 +160,7 @@
     this->acceptor.listen(kListenBacklog, error);
   }
   if (error || !this->probe.Listen(this->context.settings.readiness_address) ||
-      !this->peer_socket.Listen()) {
+      !this->peer_socket.Listen() || !this->store.Listen()) {
     LogEvent(kSettingsInvalid,
              {{"reason", "cannot listen on a configured address"},
               {"client_address", this->context.settings.client_address},
--- a/programs/laburnumkeel-proxy/proxy_context.h
+++ b/programs/laburnumkeel-proxy/proxy_context.h
@@ -63,6 +63,9 @@
   ConnectionBudget* connection_budget = nullptr;
   // Number of VMs that share the rate limits and the endpoints' connections.
   int vm_count = 1;
+  // Where the leader receives messages of other VMs; empty when it is unknown
+  // or this VM itself.
+  std::string leader_address;
   // When the last report that the leader answered was sent.
   kernel::Instant leader_last_contact;
   // Set once this VM was asked to stop.
--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -55,6 +55,14 @@
 // The row of a live endpoint can expire, unseen by this VM, in a longer time
 // without a reading of the table: two heartbeat intervals.
 constexpr milliseconds kMaximumReadGap{2400};
+// Another VM is asked for rows at most this often, so that configurations in
+// quick succession do not fill its link.
+constexpr milliseconds kRelayInterval{1000};
+constexpr std::size_t kRelayConnections = 64;
+// Requests have no body.
+constexpr std::size_t kRelayBodyBytes = 1024;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusUnavailable = 503;
 // A table that is outdated for this long is logged, and again each time that
 // doubles.
 constexpr milliseconds kOutdatedNotice{1000};
@@ -81,6 +89,9 @@
 StoreLink::StoreLink(ProxyContext& context, Observers observers)
     : context(context),
       observers(std::move(observers)),
+      relay_responder(
+          context.loop,
+          [this](const HttpCall& call) { return this->AnswerVm(call.target); }),
       fleet_channel(context.loop, context.settings.store_address),
       write_channel(context.loop, context.settings.store_address),
       single_read_channel(context.loop, context.settings.store_address) {
@@ -105,6 +116,11 @@
   }
 }
 
+bool StoreLink::Listen() {
+  this->relay_responder.SetLimits(kRelayConnections, kRelayBodyBytes);
+  return this->relay_responder.Listen(this->context.settings.PeerAddress());
+}
+
 void StoreLink::Tick(Instant now, bool new_is_leader) {
   this->is_leader = new_is_leader;
   this->ReadAgainWhenSettled(now);
@@ -175,12 +191,13 @@
        {"reading", reader.channel->IsBusy()}});
 }
 
-void StoreLink::ConfirmCurrent(const TableReader& reader,
-                               const TableState& reading) {
+void StoreLink::ConfirmCurrent(TableReader& reader, const TableState& reading) {
   if (!reader.is_loaded || reading.version > reader.version) {
     return;
   }
-  reader.departures->ConfirmComplete(reading.read_at - reader.answer_delay);
+  const Instant current_as_of = reading.read_at - reader.answer_delay;
+  reader.current_as_of = std::max(reader.current_as_of, current_as_of);
+  reader.departures->ConfirmComplete(current_as_of);
   if (&reader != &this->endpoint_rows) {
     return;
   }
@@ -246,7 +263,8 @@
 }
 
 bool StoreLink::IsDue(const TableReader& reader, Instant now) const {
-  if (reader.channel->IsBusy() || now < reader.retry_at) {
+  const bool is_asking = reader.relay_channel && reader.relay_channel->IsBusy();
+  if (reader.channel->IsBusy() || is_asking || now < reader.retry_at) {
     return false;
   }
   if (&reader == &this->endpoint_rows && !this->context.configuration) {
@@ -360,38 +378,55 @@
       since = this->context.clock.Now();
     }
   }
+  this->TakeRows(reader, *rows, reader.called_at, "store");
+}
+
+void StoreLink::TakeRows(TableReader& reader, const StoreRows& page,
+                         Instant called_at, std::string_view source) {
   const bool is_first_page = reader.load_after.empty();
   if (is_first_page) {
-    reader.first_page_version = rows->store_version;
-    reader.first_page_called_at = reader.called_at;
+    reader.first_page_version = page.store_version;
+    reader.first_page_called_at = called_at;
   }
-  for (const StoreRow& row : rows->rows) {
+  for (const StoreRow& row : page.rows) {
     if (this->Apply(reader, row)) {
       reader.has_changed = true;
       reader.state.version = std::max(reader.state.version, row.version);
     }
+    if (row.is_removed) {
+      reader.rows.erase(row.key);
+    } else {
+      reader.rows[row.key] = row;
+    }
     if (reader.is_reading_in_full) {
       reader.loaded_keys.push_back(row.key);
     }
   }
-  if (reader.is_reading_in_full && rows->has_more && !rows->rows.empty()) {
-    reader.load_after = rows->rows.back().key;
+  if (reader.is_reading_in_full && page.has_more && !page.rows.empty()) {
+    reader.load_after = page.rows.back().key;
     return;
   }
   if (reader.is_reading_in_full) {
     const bool is_first_of_era =
-        model::EraOf(reader.version) < model::EraOf(rows->store_version);
+        model::EraOf(reader.version) < model::EraOf(page.store_version);
     if (this->ExpireMissingRows(reader) || is_first_of_era) {
       // Other VMs read the table when its reported version grows.
       reader.has_changed = true;
-      reader.state.version =
-          std::max(reader.state.version, rows->store_version);
+      reader.state.version = std::max(reader.state.version, page.store_version);
     }
     LogEvent(kTableReadInFull,
              {{"table", reader.table},
+              {"source", source},
               {"rows", reader.loaded_keys.size()},
               {"known_version", model::VersionText(reader.version)},
-              {"store_version", model::VersionText(rows->store_version)}});
+              {"store_version", model::VersionText(page.store_version)}});
+    if (!this->IsSettling()) {
+      const std::set<std::string> keys(reader.loaded_keys.begin(),
+                                       reader.loaded_keys.end());
+      std::erase_if(reader.rows, [&](const auto& entry) {
+        return !keys.contains(entry.first);
+      });
+    }
     reader.loaded_keys.clear();
     reader.load_after.clear();
     reader.is_loaded = true;
@@ -433,6 +468,95 @@
   reader.is_full_read_due |= reader.load_after.empty();
   reader.departures->OnStoreFailure(reader.called_at);
   reader.retry_at = now + kRetryDelay;
+  if (!this->is_leader && now >= reader.relay_at &&
+      reader.peer_state.version > reader.version) {
+    this->AskVm(reader);
+  }
+}
+
+void StoreLink::AskVm(TableReader& reader) {
+  const platform_adapter::ProxySettings& settings = this->context.settings;
+  const std::string address =
+      this->relay_sources.Next(this->vms, settings.vm, settings.data_centre,
+                               this->context.leader_address);
+  if (address.empty()) {
+    return;
+  }
+  if (!reader.relay_channel || reader.relay_address != address) {
+    reader.relay_channel =
+        std::make_unique<transport::HttpChannel>(this->context.loop, address);
+    reader.relay_address = address;
+  }
+  HttpCall call;
+  call.target = EncodeTarget({reader.table, reader.peer_state.version});
+  call.timeout = kCallTimeout;
+  call.progress_timeout = kPageTimeout;
+  const Instant sent = this->context.clock.Now();
+  reader.relay_at = sent + kRelayInterval;
+  this->context.metrics.Count("rows_asked_of_vms");
+  reader.relay_channel->Send(call,
+                             [this, &reader, sent](const HttpAnswer& answer) {
+                               this->OnVmAnswer(reader, answer, sent);
+                             });
+}
+
+void StoreLink::OnVmAnswer(TableReader& reader, const HttpAnswer& answer,
+                           Instant sent) {
+  std::optional<RelayedRows> relayed;
+  if (answer.status == HttpAnswer::kOk) {
+    relayed = DecodeRelayed(answer.body);
+  }
+  // Of another era, versions cannot be compared.
+  const bool is_usable = relayed && relayed->version > reader.version &&
+                         model::EraOf(relayed->version) == this->Era();
+  LogEvent(
+      is_usable ? kRowsRelayed : kRelayFailed,
+      {{"table", reader.table},
+       {"address", reader.relay_address},
+       {"status", answer.status},
+       {"version", model::VersionText(reader.version)},
+       {"relayed_version", model::VersionText(relayed ? relayed->version : 0)},
+       {"received_bytes", answer.received_bytes}});
+  if (!is_usable) {
+    // The next one is asked after the next failure.
+    reader.relay_at = Instant();
+    return;
+  }
+  reader.is_reading_in_full = true;
+  reader.is_full_read_due = true;
+  reader.load_after.clear();
+  reader.loaded_keys.clear();
+  reader.wait = milliseconds(0);
+  StoreRows page;
+  page.rows = std::move(relayed->rows);
+  page.store_version = relayed->version;
+  this->TakeRows(reader, page, sent - relayed->age, "vm");
+}
+
+HttpAnswer StoreLink::AnswerVm(const std::string& target) const {
+  const auto request = DecodeTarget(target);
+  for (const TableReader* reader :
+       {&this->operator_rows, &this->endpoint_rows}) {
+    if (!request || request->table != reader->table) {
+      continue;
+    }
+    // The rows that a restored store lacks are among those kept.
+    const bool is_usable = reader->is_loaded && !this->IsSettling() &&
+                           reader->version >= request->version &&
+                           model::EraOf(reader->version) == this->Era();
+    if (!is_usable) {
+      return {kStatusUnavailable, ""};
+    }
+    RelayedRows relayed;
+    relayed.version = reader->version;
+    relayed.age = std::chrono::ceil<std::chrono::microseconds>(
+        this->context.clock.Now() - reader->current_as_of);
+    for (const auto& [key, row] : reader->rows) {
+      relayed.rows.push_back(row);
+    }
+    return {HttpAnswer::kOk, EncodeRelayed(relayed)};
+  }
+  return {kStatusNotFound, ""};
 }
 
 bool StoreLink::Apply(TableReader& reader, const StoreRow& row) {
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -14,9 +14,12 @@
 
 #include "laburnumkeel/promotion/leader_lease.h"
 #include "laburnumkeel/transport/http_channel.h"
+#include "laburnumkeel/transport/http_responder.h"
 #include "platform/store_codec.h"
 #include "programs/laburnumkeel-proxy/fleet_rows.h"
 #include "programs/laburnumkeel-proxy/proxy_context.h"
+#include "programs/laburnumkeel-proxy/relay_sources.h"
+#include "programs/laburnumkeel-proxy/relayed_rows.h"
 
 namespace laburnumkeel::proxy {
 
@@ -50,9 +53,14 @@
 
   StoreLink(ProxyContext& context, Observers observers);
 
+  // Listens at the peer address for VMs that the store refuses. Returns false
+  // when it cannot be bound.
+  bool Listen();
+
   // Starts the calls that are due. The leader polls the tables continually on
   // behalf of the other VMs. Any other VM reads them when the leader reports a
-  // change, or when neither has read them for `max_age`.
+  // change, or when neither has read them for `max_age`. While the store fails
+  // for it, it asks another VM for what the leader has reported.
   void Tick(kernel::Instant now, bool is_leader);
 
   // Another VM has read the tables and reports their state.
@@ -152,6 +160,10 @@
     std::chrono::milliseconds leader_poll_interval;
     std::chrono::milliseconds leader_wait;
     std::unique_ptr<transport::HttpChannel> channel;
+    // The VM that is asked while the store fails, and when that may be next.
+    std::unique_ptr<transport::HttpChannel> relay_channel;
+    std::string relay_address;
+    kernel::Instant relay_at;
     kernel::Instant retry_at;
     kernel::Instant called_at;
     // The store's era, as known when the call was sent.
@@ -172,6 +184,10 @@
     // The call is due now, however fresh the last reading is.
     bool is_due_now = false;
     std::uint64_t version = 0;
+    // The rows by key, for other VMs, and when they were last known to be
+    // current.
+    std::map<std::string, platform_adapter::StoreRow> rows;
+    kernel::Instant current_as_of;
     // Keys read so far while reading in full.
     std::vector<std::string> loaded_keys;
     // Key of the last row read so far; empty while no full read continues.
@@ -213,11 +229,21 @@
   void ReadTable(TableReader& reader, kernel::Instant now);
   void OnTableRead(TableReader& reader, const transport::HttpAnswer& answer);
   void OnReadFailed(TableReader& reader, const transport::HttpAnswer& answer);
+  // Takes over a page of rows, or changes, that were current at `called_at`.
+  // `source` is told to the log.
+  void TakeRows(TableReader& reader, const platform_adapter::StoreRows& page,
+                kernel::Instant called_at, std::string_view source);
+  // Asks another VM for the rows that the leader has reported.
+  void AskVm(TableReader& reader);
+  void OnVmAnswer(TableReader& reader, const transport::HttpAnswer& answer,
+                  kernel::Instant sent);
+  // Answers another VM.
+  transport::HttpAnswer AnswerVm(const std::string& target) const;
   // Logs and measures for how long this VM lacks what the leader has read.
   void ObserveOutdated(TableReader& reader, kernel::Instant now);
   // Records that this VM knows all rows as of the reading of a table, by this
   // or another VM.
-  void ConfirmCurrent(const TableReader& reader, const TableState& reading);
+  void ConfirmCurrent(TableReader& reader, const TableState& reading);
   // Endpoints whose rows expired while the table was not read, or could not be,
   // get the grace period from now on.
   void RestartEndpointGrace();
@@ -260,6 +286,8 @@
   const Observers observers;
   TableReader operator_rows;
   TableReader endpoint_rows;
+  RelaySources relay_sources;
+  transport::HttpResponder relay_responder;
   transport::HttpChannel fleet_channel;
   transport::HttpChannel write_channel;
   transport::HttpChannel single_read_channel;
--- a/src/laburnumkeel/transport/http_responder.cpp
+++ b/src/laburnumkeel/transport/http_responder.cpp
@@ -21,7 +21,9 @@
 // Closes a connection without a request for this long. Probes arrive every
 // second, so their connections stay open.
 constexpr std::chrono::seconds kIdleTimeout{30};
-constexpr int kListenBacklog = 16;
+// Many VMs may connect at the same moment; a connection beyond the backlog is
+// delayed by seconds.
+constexpr int kListenBacklog = 128;
 
 // Time until a connection is accepted again when the system has no descriptor
 // or memory for it.
