--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -56,6 +56,7 @@
         self.changed = asyncio.Event()
         self.address = None
         self.promote = None  # called with service, id, holder, token
+        self.group = None
 
     async def start(self):
         port = free_port()
@@ -92,9 +93,13 @@
         return fields
 
     async def serve(self, reader, writer):
+        machine = self.group.machine_of(writer.get_extra_info("peername")[1],
+                                        writer.get_extra_info("sockname")[1])
+        links = self.group.links
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
+                await links.passable(machine, "store")
                 lines = head.decode().split("\r\n")
                 method, target, _ = lines[0].split(" ")
                 headers = dict(l.lower().split(": ", 1)
@@ -104,6 +109,7 @@
                 body = await reader.readexactly(
                     int(headers.get("content-length", 0)))
                 status, answer = await self.answer(method, target, raw, body)
+                await links.passable(machine, "store")
                 data = json.dumps(answer).encode()
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json"
                              b"\r\nContent-Length: %d\r\n\r\n" %
@@ -254,11 +260,18 @@
             "state": "ready", "cold_remaining_ms": 0,
             "database_role": self.role, "sequence": self.sequence}))
 
+    HEARTBEAT_S = 1.2
+
     async def heartbeat(self):
+        heard = now()
         while True:
             if not self.group.links.is_cut(self.name, "store"):
+                heard = now()
                 self.register()
-            await asyncio.sleep(1.2)
+            elif now() > heard + 3 * self.HEARTBEAT_S:
+                # The store drops the entry of a silent database.
+                self.group.store.drop("servers", self.name)
+            await asyncio.sleep(self.HEARTBEAT_S)
 
     def changed(self):
         self.log_changed.set()
@@ -319,6 +332,7 @@
         self.group.record.write("database", self.name, "leads term", self.term,
                                 "from", "%d.%d" % self.position())
         self.group.promoted = self
+        self.group.on_promoted(self)
         self.register()
 
     # The wire.
@@ -520,9 +534,11 @@
         self.acknowledged = {}  # request -> time of the client's answer
         self.machines = {}  # pid -> name
         self.on_read = lambda database, request, machine: None
+        self.on_promoted = lambda database: None
         self.promoted = self.databases[0]
         self.tokens = []
         store.promote = self.promote
+        store.group = self
 
     def distance(self, machine, zone):
         return 0 if machine == "vm-" + zone else Database.REGION_S
