Review case 9: RESUME sends a replica back to the former primary

Cause: at the end of a change all replicas get RESUME. One that cannot reach the new primary goes on receiving from the former one, which then commits and acknowledges the writes that waited, after the promotion has taken effect.

--- /dev/null
+++ b/review/9/case.py
@@ -0,0 +1,113 @@
+"""The two regions without the primary have lost each other, and the leader
+cannot reach the primary. It promotes a replica and resumes the other one, which
+goes on receiving from the former primary."""
+
+import asyncio
+import os
+import sys
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
+import world as w  # noqa: E402
+
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+REGION_CUT_S = 20.0  # "regions lose each other for an hour now and then"
+PRIMARY_CUT_AT_S = 5.0  # after the regions' cut
+PRIMARY_CUT_S = 7.0  # the longest primary_cut of the site
+
+
+class Run:
+    def __init__(self):
+        self.world = w.World(os.path.join(HERE, "record.txt"),
+                             first_leads=True)
+        self.group, self.record = self.world.group, self.world.record
+        self.stopped = False
+        self.led_at = None
+        self.group.on_promoted = self.on_promoted
+
+    def on_promoted(self, database):
+        self.led_at = w.now()
+
+    async def session(self, machine):
+        client = w.Client(machine, "strict")
+        while not self.stopped:
+            request = w.Client.new_id()
+            try:
+                if client.writer is None:
+                    await client.connect()
+                self.record.write("client sends", request, "WRITE via",
+                                  machine.name)
+                outcome, detail, _ = await client.query("WRITE a data", request)
+                if outcome == "COMPLETE":
+                    self.group.acknowledged[request] = w.now()
+                self.record.write("client gets", request, outcome, detail)
+            except (OSError, asyncio.TimeoutError,
+                    asyncio.IncompleteReadError) as error:
+                self.record.write("client gets", request, repr(error))
+                client.close()
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(0.1)
+        client.close()
+
+    async def play(self):
+        world, group = self.world, self.group
+        await world.start()
+        former = group.databases[0]
+        leader = world.machines[0]
+        if world.leader() != leader.name:
+            self.record.write("the leader isn't in the primary's zone")
+            return 2
+        tasks = [asyncio.ensure_future(self.session(m))
+                 for m in world.machines[1:] for _ in range(2)]
+        await asyncio.sleep(5)
+        before = len(group.acknowledged)
+        one, other = [[z.name for z in world.machines + group.databases
+                       if z.zone == zone] for zone in world.zones[1:]]
+        regions = [(a, b) for a in one for b in other] if TROUBLE else []
+        self.record.write("cut:", *one, "from", *other)
+        group.links.set_cut(regions)
+        await asyncio.sleep(PRIMARY_CUT_AT_S)
+        if TROUBLE:
+            self.record.write("cut:", former.name, "from", leader.name)
+            group.links.set_cut(regions + [(former.name, leader.name)])
+        await asyncio.sleep(PRIMARY_CUT_S)
+        group.links.set_cut(regions)
+        self.record.write("the leader reaches", former.name, "again")
+        await asyncio.sleep(REGION_CUT_S - PRIMARY_CUT_AT_S - PRIMARY_CUT_S)
+        group.links.set_cut([])
+        self.record.write("the regions reach each other again")
+        await asyncio.sleep(4)
+        self.stopped = True
+        await asyncio.wait(tasks, timeout=5)
+        present = {e.request for e in group.promoted.log}
+        lost = {r: t for r, t in group.acknowledged.items()
+                if r not in present}
+        for request, time in lost.items():
+            self.record.write("LOST: commit", request, "acknowledged",
+                              "%.3f s after the promotion" %
+                              (time - (self.led_at or 0)),
+                              "is not in the log of", group.promoted.name)
+        summary = "commits acknowledged: %d, primary: %s, lost: %d" % (
+            len(group.acknowledged), group.promoted.name, len(lost))
+        self.record.write(summary)
+        print(summary)
+        if before < 20 or (TROUBLE and self.led_at is None):
+            return 2
+        return 1 if lost else 0
+
+
+async def main():
+    run = Run()
+    try:
+        return await asyncio.wait_for(run.play(), 100)
+    except Exception as error:  # the case could not run
+        print("could not run:", repr(error))
+        return 2
+    finally:
+        run.world.stop()
+
+
+loop = asyncio.new_event_loop()
+code = loop.run_until_complete(main())
+sys.stdout.flush()
+os._exit(code)
--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")"
+exec timeout 115 python3 case.py
