Wait for endpoints that may acknowledge commits behind a partition

Cause: a change of primary left out each endpoint that was not registered and did not answer. Behind a cut of its region such an endpoint goes on with a primary on its side; the one endpoint left was then taken for the longest log.

Ruled out: a commit wait (9 s) that is too short. A lost pause: none was sent.

LostCommitTest changed: - Leave() now announces the departure and drains, as endpoints do. It keeps its bound for holders that have left as announced; the rest became PrimaryThatMayHoldThemIsWaitedForWithoutEnd, which demands the opposite, and PromotionByTheOperatorEndsTheWait.

--- a/programs/laburnumkeel-proxy/events.h
+++ b/programs/laburnumkeel-proxy/events.h
@@ -93,6 +93,11 @@
     6529, Severity::kError, "commits_missing",
     "an endpoint is promoted that lacks commits which may have been "
     "acknowledged, as no endpoint with them has returned in time"};
+inline constexpr EventDefinition kChangeHeld{
+    6539, Severity::kWarning, "change_held",
+    "a change of primary cannot proceed: the endpoints that it waits for do "
+    "not "
+    "respond, and may hold or acknowledge commits out of reach"};
 inline constexpr EventDefinition kChangeEnded{
     6525, Severity::kInformation, "change_ended", "a change of primary ended"};
 inline constexpr EventDefinition kStatementRefused{
@@ -253,6 +258,7 @@
                                     kChangeStarted,
                                     kChangeStep,
                                     kCommitsMissing,
+                                    kChangeHeld,
                                     kChangeEnded,
                                     kStatementRefused,
                                     kSessionRefused,
--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -33,12 +33,15 @@
 // An announced change that cannot proceed is cancelled after this time.
 constexpr milliseconds kCancelTimeout{2500};
 constexpr milliseconds kReplicaQueryPeriod{800};
+// Endpoints that are known to be missing are queried for their return only.
+constexpr milliseconds kMissingQueryPeriod{5000};
 // A crashed primary comes back with its log within several seconds. With the
 // time until the change has started, well below the 14 s within which it has to
 // be over.
 constexpr milliseconds kCommitWaitTimeout{9000};
 constexpr milliseconds kMemberQueryPeriod{100};
-// Endpoints that are neither registered nor respond have most likely left.
+// Endpoints that are neither registered nor respond take a connection attempt
+// for each query.
 constexpr milliseconds kSilentQueryPeriod{1000};
 // Log entries that the former primary had sent when it stepped down arrive
 // within this time; covers round trips between regions.
@@ -116,7 +119,7 @@
       std::max(watch.last_response,
                this->find_pool(service).LastContact(record->endpoint_id));
   this->QueryPrimary(service, watch, now);
-  this->QueryReplicaLags(service, now);
+  this->QueryReplicas(service, watch, now);
   this->StartChangeIfNeeded(service, watch, now);
 }
 
@@ -358,18 +361,58 @@
   return ids;
 }
 
-bool FailoverManager::IsMember(const ServiceChange& change,
-                               const std::string& endpoint_id) const {
+bool FailoverManager::IsPresent(const ServiceWatch& watch,
+                                const std::string& endpoint_id) const {
   return this->context.endpoints.contains(endpoint_id) ||
-         (change.members.contains(endpoint_id) &&
-          !change.silent_members.contains(endpoint_id));
+         (watch.change && watch.change->members.contains(endpoint_id) &&
+          !watch.silent_since.contains(endpoint_id));
+}
+
+promotion::AbsenceEvidence FailoverManager::EvidenceOf(
+    const std::string& service, const ServiceWatch& watch,
+    const UnregisteredEndpoint& unregistered) const {
+  promotion::AbsenceEvidence evidence;
+  evidence.draining_since = unregistered.draining_since;
+  const auto silent = watch.silent_since.find(unregistered.endpoint.id);
+  if (silent != watch.silent_since.end()) {
+    evidence.silent_since = silent->second;
+  }
+  if (const auto* record = this->context.primaries.Find(service)) {
+    evidence.primary_contact =
+        this->find_pool(service).LastContact(record->endpoint_id);
+  }
+  return evidence;
+}
+
+bool FailoverManager::IsMember(const std::string& service,
+                               const ServiceWatch& watch,
+                               const std::string& endpoint_id) const {
+  if (this->IsPresent(watch, endpoint_id)) {
+    return true;
+  }
+  const auto unregistered =
+      this->context.unregistered_endpoints.find(endpoint_id);
+  return unregistered != this->context.unregistered_endpoints.end() &&
+         !this->EvidenceOf(service, watch, unregistered->second)
+              .IsAbsent(this->context.clock.Now(),
+                        this->context.settings.drain_bound);
+}
+
+std::vector<std::string> FailoverManager::Members(
+    const std::string& service, const ServiceWatch& watch) const {
+  std::vector<std::string> ids = this->KnownEndpoints(service);
+  std::erase_if(ids, [&](const std::string& id) {
+    return !this->IsMember(service, watch, id);
+  });
+  return ids;
 }
 
 void FailoverManager::QueryMembers(const std::string& service,
-                                   ServiceChange& change, Instant now) {
+                                   ServiceWatch& watch, Instant now) {
+  ServiceChange& change = *watch.change;
   for (const std::string& id : this->KnownEndpoints(service)) {
     const milliseconds period =
-        this->IsMember(change, id) ? kMemberQueryPeriod : kSilentQueryPeriod;
+        this->IsPresent(watch, id) ? kMemberQueryPeriod : kSilentQueryPeriod;
     if (now < change.queried_at[id] + period) {
       continue;
     }
@@ -384,9 +427,9 @@
                                   const std::string& endpoint_id) {
   this->find_pool(service).RunInternal(
       endpoint_id, platform_adapter::StatusText(), kQueryTimeout,
-      [this, service,
-       endpoint_id](const std::optional<statements::EndpointReply>& reply) {
-        this->OnMemberReply(service, endpoint_id, reply);
+      [this, service, endpoint_id, sent = this->context.clock.Now()](
+          const std::optional<statements::EndpointReply>& reply) {
+        this->OnMemberReply(service, endpoint_id, sent, reply);
       });
 }
 
@@ -399,14 +442,27 @@
         return this->leadership.MayAct(this->context.clock.Now()) &&
                this->leadership.Token() == token;
       },
-      [this, service,
-       endpoint_id](const std::optional<statements::EndpointReply>& reply) {
-        this->OnMemberReply(service, endpoint_id, reply);
+      [this, service, endpoint_id, sent = this->context.clock.Now()](
+          const std::optional<statements::EndpointReply>& reply) {
+        this->OnMemberReply(service, endpoint_id, sent, reply);
       });
 }
 
+void FailoverManager::ObserveSilence(const std::string& service,
+                                     ServiceWatch& watch,
+                                     const std::string& endpoint_id,
+                                     Instant sent, bool has_replied) {
+  // A connection that the endpoint refuses for want of room is a response too.
+  if (has_replied ||
+      this->find_pool(service).LastContact(endpoint_id) >= sent) {
+    watch.silent_since.erase(endpoint_id);
+    return;
+  }
+  watch.silent_since.try_emplace(endpoint_id, this->context.clock.Now());
+}
+
 void FailoverManager::OnMemberReply(
-    const std::string& service, const std::string& endpoint_id,
+    const std::string& service, const std::string& endpoint_id, Instant sent,
     const std::optional<statements::EndpointReply>& reply) {
   ServiceWatch* watch = this->FindChanging(service);
   if (watch == nullptr) {
@@ -422,11 +478,9 @@
   change.queried_at[endpoint_id] = now;
   ChangeMember& member = change.members[endpoint_id];
   member.id = endpoint_id;
+  this->ObserveSilence(service, *watch, endpoint_id, sent, reply.has_value());
   std::optional<platform_adapter::EndpointState> state;
-  if (!reply) {
-    change.silent_members.insert(endpoint_id);
-  } else {
-    change.silent_members.erase(endpoint_id);
+  if (reply) {
     state = platform_adapter::DecodeEndpointState(reply->rows);
   }
   if (!state) {
@@ -474,13 +528,11 @@
   if (now < watch.last_response + kFailureTimeout) {
     return true;
   }
+  const std::vector<std::string> members = this->Members(service, watch);
   const bool all_replicas_respond =
-      std::all_of(this->context.endpoints.begin(),
-                  this->context.endpoints.end(), [&](const auto& entry) {
-                    return entry.second.service != service ||
-                           entry.first == record.endpoint_id ||
-                           change.members[entry.first].has_answered;
-                  });
+      std::all_of(members.begin(), members.end(), [&](const std::string& id) {
+        return id == record.endpoint_id || change.members[id].has_answered;
+      });
   if (all_replicas_respond) {
     change.is_cancellable = false;
     return false;
@@ -507,44 +559,60 @@
         }
         cancelled->change->is_publishing = false;
         if (is_done) {
-          LogEvent(kChangeEnded, {{"service", service}, {"reason", reason}});
+          LogEvent(
+              kChangeEnded,
+              {{"service", service},
+               {"reason", reason},
+               {"waiting_for", this->UnansweredMembers(service, *cancelled)}});
           cancelled->last_response = this->context.clock.Now();
           cancelled->change.reset();
         }
       });
 }
 
-void FailoverManager::QueryReplicaLags(const std::string& service,
-                                       Instant now) {
-  ServiceWatch& watch = this->watches[service];
+void FailoverManager::QueryReplicas(const std::string& service,
+                                    ServiceWatch& watch, Instant now) {
   const routing::PrimaryRecord& record = *this->context.primaries.Find(service);
-  for (const auto& [id, endpoint] : this->context.endpoints) {
-    if (endpoint.service != service || id == record.endpoint_id ||
-        now < watch.replica_queried_at[id] + kReplicaQueryPeriod) {
+  for (const std::string& id : this->KnownEndpoints(service)) {
+    const milliseconds period = this->IsMember(service, watch, id)
+                                    ? kReplicaQueryPeriod
+                                    : kMissingQueryPeriod;
+    if (id == record.endpoint_id ||
+        now < watch.replica_queried_at[id] + period) {
       continue;
     }
     watch.replica_queried_at[id] = now;
     this->find_pool(service).RunInternal(
         id, platform_adapter::StatusText(), kQueryTimeout,
-        [this, service,
-         id = id](const std::optional<statements::EndpointReply>& reply) {
-          if (!reply) {
-            return;
-          }
-          const auto state = platform_adapter::DecodeEndpointState(reply->rows);
-          if (state) {
-            this->find_pool(service).SetLag(id, state->lag,
-                                            this->context.clock.Now());
-            this->ObserveReplica(service, id, *state);
-          }
+        [this, service, id,
+         now](const std::optional<statements::EndpointReply>& reply) {
+          this->OnReplicaReply(service, id, now, reply);
         });
   }
 }
 
+void FailoverManager::OnReplicaReply(
+    const std::string& service, const std::string& endpoint_id, Instant sent,
+    const std::optional<statements::EndpointReply>& reply) {
+  const auto watch = this->watches.find(service);
+  if (watch != this->watches.end()) {
+    this->ObserveSilence(service, watch->second, endpoint_id, sent,
+                         reply.has_value());
+  }
+  const auto state =
+      reply ? platform_adapter::DecodeEndpointState(reply->rows) : std::nullopt;
+  if (!state) {
+    return;
+  }
+  this->find_pool(service).SetLag(endpoint_id, state->lag,
+                                  this->context.clock.Now());
+  this->ObserveReplica(service, endpoint_id, *state);
+}
+
 void FailoverManager::AdvanceChange(const std::string& service,
                                     ServiceWatch& watch, Instant now) {
   ServiceChange& change = *watch.change;
-  this->QueryMembers(service, change, now);
+  this->QueryMembers(service, watch, now);
   if (change.is_announcing || change.is_promotion_pending ||
       change.is_publishing ||
       this->ReviewCancellableChange(service, watch, now)) {
@@ -564,10 +632,7 @@
   view.read_leases_expired = now >= *change.read_leases_expire_at;
   model::Term highest = 0;
   model::Term replica_term = 0;
-  for (const std::string& id : this->KnownEndpoints(service)) {
-    if (!this->IsMember(change, id)) {
-      continue;
-    }
+  for (const std::string& id : this->Members(service, watch)) {
     ChangeMember member = change.members[id];
     member.id = id;
     member.is_eligible = this->IsEligible(id);
@@ -587,11 +652,11 @@
     change.next_term = replica_term + 1;
   }
   view.next_term = change.next_term;
-  if (!this->IsMember(change, change.promotion_target)) {
+  if (!this->IsPresent(watch, change.promotion_target)) {
     // An endpoint that has left is not promoted by a late call any more.
     change.promotion_target.clear();
   }
-  this->UpdateProofs(service, change, view, now);
+  this->UpdateProofs(service, watch, view, now);
   const ChangeStep step = promotion::NextStep(view);
   const bool touches_replica = step.action == ChangeAction::kPause ||
                                step.action == ChangeAction::kResume;
@@ -603,8 +668,9 @@
 }
 
 void FailoverManager::UpdateProofs(const std::string& service,
-                                   ServiceChange& change,
+                                   ServiceWatch& watch,
                                    promotion::ChangeView& view, Instant now) {
+  ServiceChange& change = *watch.change;
   const bool are_all_paused = std::all_of(
       view.members.begin(), view.members.end(), [&](const auto& member) {
         return member.id == view.former ||
@@ -620,8 +686,12 @@
       this->store.EndpointRows().read_at > *change.all_paused_since &&
       this->store.AreEndpointsComplete();
   view.committed = this->find_pool(service).Committed();
-  view.is_commit_wait_over = now >= change.started + kCommitWaitTimeout;
   const ChangeMember& former = change.members[view.former];
+  // A former primary out of reach that is not shown to have left holds its
+  // commits, and may return with them.
+  view.is_commit_wait_over =
+      now >= change.started + kCommitWaitTimeout &&
+      (former.has_answered || !this->IsMember(service, watch, view.former));
   if (former.has_answered && !former.is_primary && !change.stepped_down_at) {
     change.stepped_down_at = now;
   }
@@ -629,6 +699,34 @@
       change.stepped_down_at && now >= *change.stepped_down_at + kCatchUpTime;
 }
 
+std::string FailoverManager::UnansweredMembers(
+    const std::string& service, const ServiceWatch& watch) const {
+  std::string ids;
+  for (const std::string& id : this->Members(service, watch)) {
+    const auto member = watch.change->members.find(id);
+    if (member != watch.change->members.end() && member->second.has_answered) {
+      continue;
+    }
+    ids += (ids.empty() ? "" : ",") + id;
+  }
+  return ids;
+}
+
+void FailoverManager::ReportHeldChange(const std::string& service,
+                                       ServiceWatch& watch, Instant now) {
+  ServiceChange& change = *watch.change;
+  if (now < change.started + change.held_notice) {
+    return;
+  }
+  change.held_notice *= 2;
+  LogEvent(kChangeHeld,
+           {{"service", service},
+            {"endpoint", this->context.primaries.Find(service)->endpoint_id},
+            {"waiting_for", this->UnansweredMembers(service, watch)},
+            {"committed", PositionText(this->find_pool(service).Committed())},
+            {"elapsed_ms", kernel::ToMilliseconds(now - change.started)}});
+}
+
 void FailoverManager::PerformStep(const std::string& service,
                                   ServiceWatch& watch, const ChangeStep& step,
                                   Instant now) {
@@ -655,6 +753,7 @@
   change.last_step = step;
   switch (step.action) {
     case ChangeAction::kWait:
+      this->ReportHeldChange(service, watch, now);
       return;
     case ChangeAction::kPause:
       if (change.members[step.endpoint].has_answered) {
@@ -736,7 +835,7 @@
   watch.change->is_publishing = true;
   const std::string former = this->context.primaries.Find(service)->endpoint_id;
   for (const std::string& id : this->KnownEndpoints(service)) {
-    if (id == endpoint_id || !this->IsMember(*watch.change, id)) {
+    if (id == endpoint_id || !this->IsPresent(watch, id)) {
       continue;
     }
     this->GiveOrder(service, id,
--- a/programs/laburnumkeel-proxy/failover_manager.h
+++ b/programs/laburnumkeel-proxy/failover_manager.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "laburnumkeel/promotion/absence_evidence.h"
 #include "laburnumkeel/promotion/change_plan.h"
 #include "platform/wire_codec.h"
 #include "programs/laburnumkeel-proxy/leadership.h"
@@ -57,28 +58,56 @@
   // Publishes the former primary again and ends the change.
   void CancelChange(const std::string& service, ServiceWatch& watch,
                     const std::string& reason);
-  void QueryReplicaLags(const std::string& service, kernel::Instant now);
+  // Queries the replicas for their replication lag, and endpoints that are not
+  // registered any more for a sign that they still run.
+  void QueryReplicas(const std::string& service, ServiceWatch& watch,
+                     kernel::Instant now);
+  void OnReplicaReply(const std::string& service,
+                      const std::string& endpoint_id, kernel::Instant sent,
+                      const std::optional<statements::EndpointReply>& reply);
+  // Notes whether an endpoint replied to a query sent at `sent`.
+  void ObserveSilence(const std::string& service, ServiceWatch& watch,
+                      const std::string& endpoint_id, kernel::Instant sent,
+                      bool has_replied);
   // The registered endpoints of a service, and those that were until recently.
   std::vector<std::string> KnownEndpoints(const std::string& service) const;
-  // True when the endpoint takes part in a change: it is registered, or it
-  // responds nevertheless.
-  bool IsMember(const ServiceChange& change,
+  // True when the endpoint is registered, or responds nevertheless.
+  bool IsPresent(const ServiceWatch& watch,
+                 const std::string& endpoint_id) const;
+  // What shows that an unregistered endpoint takes no part in the service.
+  promotion::AbsenceEvidence EvidenceOf(
+      const std::string& service, const ServiceWatch& watch,
+      const UnregisteredEndpoint& unregistered) const;
+  // True when the endpoint takes part in a change: it is present, or it may
+  // still acknowledge commits out of reach of this VM.
+  bool IsMember(const std::string& service, const ServiceWatch& watch,
                 const std::string& endpoint_id) const;
-  void QueryMembers(const std::string& service, ServiceChange& change,
+  // The known endpoints that take part in a change.
+  std::vector<std::string> Members(const std::string& service,
+                                   const ServiceWatch& watch) const;
+  void QueryMembers(const std::string& service, ServiceWatch& watch,
                     kernel::Instant now);
   void QueryMember(const std::string& service, const std::string& endpoint_id);
   // Sends a command that changes what an endpoint does.
   void GiveOrder(const std::string& service, const std::string& endpoint_id,
                  const std::string& text);
+  // `sent` is when the query or order was sent.
   void OnMemberReply(const std::string& service, const std::string& endpoint_id,
+                     kernel::Instant sent,
                      const std::optional<statements::EndpointReply>& reply);
   // Notes which commits a replica holds.
   void ObserveReplica(const std::string& service,
                       const std::string& endpoint_id,
                       const platform_adapter::EndpointState& state);
   // Adds to the view what it takes to know that no commit is missing.
-  void UpdateProofs(const std::string& service, ServiceChange& change,
+  void UpdateProofs(const std::string& service, ServiceWatch& watch,
                     promotion::ChangeView& view, kernel::Instant now);
+  // Members of a change that have not responded, separated by commas.
+  std::string UnansweredMembers(const std::string& service,
+                                const ServiceWatch& watch) const;
+  // Logs from time to time that a change waits.
+  void ReportHeldChange(const std::string& service, ServiceWatch& watch,
+                        kernel::Instant now);
   void PerformStep(const std::string& service, ServiceWatch& watch,
                    const promotion::ChangeStep& step, kernel::Instant now);
   void Promote(const std::string& service, ServiceWatch& watch,
--- a/programs/laburnumkeel-proxy/proxy_context.h
+++ b/programs/laburnumkeel-proxy/proxy_context.h
@@ -28,6 +28,8 @@
 struct UnregisteredEndpoint {
   model::DatabaseEndpoint endpoint;
   kernel::Instant since;
+  // When it announced that it leaves; empty when it did not.
+  std::optional<kernel::Instant> draining_since;
 };
 
 // State of this process and its view of the fleet, shared by all components.
@@ -49,10 +51,10 @@
   std::shared_ptr<const model::ProxyConfiguration> configuration;
   // By id.
   std::map<std::string, model::DatabaseEndpoint> endpoints;
-  // Endpoints that were registered within the last minutes and are not any
-  // more, by id. They receive no statements of clients, but one that still
-  // responds takes part in a change of primary: its log may hold commits that
-  // no other one has.
+  // Endpoints that were registered within the last day and are not any more, by
+  // id; those that announced their departure, within the last minutes. They
+  // receive no statements of clients, but one that still responds takes part in
+  // a change of primary: its log may hold commits that no other one has.
   std::map<std::string, UnregisteredEndpoint> unregistered_endpoints;
   // Endpoints that are draining or whose registration is gone, by id.
   routing::DepartureTable endpoint_departures;
--- a/programs/laburnumkeel-proxy/service_watch.h
+++ b/programs/laburnumkeel-proxy/service_watch.h
@@ -1,9 +1,9 @@
 #ifndef LABURNUMKEEL_PROGRAMS_PROXY_SERVICE_WATCH_H_
 #define LABURNUMKEEL_PROGRAMS_PROXY_SERVICE_WATCH_H_
 
+#include <chrono>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "laburnumkeel/kernel/clock.h"
@@ -30,14 +30,14 @@
   // The platform takes some time to carry out an accepted call.
   kernel::Instant promotion_retry_at;
   std::map<std::string, promotion::ChangeMember> members;
-  // Members whose last query got no reply at all.
-  std::set<std::string> silent_members;
   // Since when all known replicas are paused; empty while one is not.
   std::optional<kernel::Instant> all_paused_since;
   // When the former primary first responded as a replica.
   std::optional<kernel::Instant> stepped_down_at;
   std::map<std::string, kernel::Instant> queried_at;
   promotion::ChangeStep last_step;
+  // After how long it is logged next that the change cannot proceed.
+  std::chrono::milliseconds held_notice{5000};
 };
 
 // The leader's view of a service's primary.
@@ -53,6 +53,8 @@
   std::optional<ServiceChange> change;
   // When each replica was last queried for its replication lag.
   std::map<std::string, kernel::Instant> replica_queried_at;
+  // When the first unanswered query of each silent endpoint timed out.
+  std::map<std::string, kernel::Instant> silent_since;
 };
 
 }  // namespace laburnumkeel::proxy
--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -49,9 +49,11 @@
 // Live endpoints whose row expired during a store outage register again within
 // about 2 s of its end.
 constexpr milliseconds kExpiredEndpointGrace{3000};
-// Well above the time for which databases are expected to be cut off from the
-// store.
-constexpr std::chrono::minutes kUnregisteredRetention{10};
+// Regions are expected to lose each other for an hour. An endpoint behind such
+// a cut may hold acknowledged commits all the while.
+constexpr std::chrono::hours kUnregisteredRetention{24};
+// Well above the time for which a draining endpoint still runs.
+constexpr std::chrono::minutes kDepartedRetention{10};
 // The row of a live endpoint can expire, unseen by this VM, in a longer time
 // without a reading of the table: two heartbeat intervals.
 constexpr milliseconds kMaximumReadGap{2400};
@@ -133,9 +135,7 @@
   if (this->IsFleetDue(now)) {
     this->PollFleet(now);
   }
-  std::erase_if(this->context.unregistered_endpoints, [&](const auto& entry) {
-    return now >= entry.second.since + kUnregisteredRetention;
-  });
+  this->ForgetUnregisteredEndpoints(now);
   if (this->RemoveExpiredEndpoints()) {
     this->observers.on_change();
   }
@@ -629,6 +629,11 @@
   if (!decoded) {
     return known != endpoints.end() && this->ExpireEndpoint(row.key);
   }
+  if (decoded->is_draining) {
+    this->draining_since.try_emplace(row.key, this->context.clock.Now());
+  } else {
+    this->draining_since.erase(row.key);
+  }
   if (this->IsSettling() &&
       this->context.endpoint_departures.Contains(row.key)) {
     // The copy may be older than the departure.
@@ -723,12 +728,24 @@
 
 void StoreLink::Unregister(const std::string& id) {
   const auto known = this->context.endpoints.extract(id);
+  const auto draining = this->draining_since.extract(id);
   if (!known.empty()) {
-    this->context.unregistered_endpoints[id] = {known.mapped(),
-                                                this->context.clock.Now()};
+    this->context.unregistered_endpoints[id] = {
+        known.mapped(), this->context.clock.Now(),
+        draining.empty() ? std::nullopt : std::optional(draining.mapped())};
   }
 }
 
+void StoreLink::ForgetUnregisteredEndpoints(Instant now) {
+  std::erase_if(this->context.unregistered_endpoints, [&](const auto& entry) {
+    const UnregisteredEndpoint& unregistered = entry.second;
+    return now >=
+           unregistered.since + (unregistered.draining_since
+                                     ? kernel::Duration(kDepartedRetention)
+                                     : kUnregisteredRetention);
+  });
+}
+
 std::int64_t StoreLink::StoreNowMs(Instant now) const {
   if (this->store_clock_ms == 0) {
     return 0;
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -264,6 +264,8 @@
   bool RemoveExpiredEndpoints();
   // Moves an endpoint to those that are not registered any more.
   void Unregister(const std::string& id);
+  // Drops endpoints that have been unregistered for long.
+  void ForgetUnregisteredEndpoints(kernel::Instant now);
 
   bool IsFleetDue(kernel::Instant now) const;
   void PollFleet(kernel::Instant now);
@@ -321,6 +323,8 @@
   // Endpoints whose row was removed, and since when. They stay in use until
   // kExpiredEndpointGrace has passed.
   std::map<std::string, kernel::Instant> expired_endpoints;
+  // When each draining endpoint announced that it leaves, as read by this VM.
+  std::map<std::string, kernel::Instant> draining_since;
   // Keys of rows that describe no usable endpoint, as logged.
   std::set<std::string> ignored_endpoints;
   std::map<std::string, std::uint64_t> primary_versions;
--- a/tests/proxy/lost_commit_test.cpp
+++ b/tests/proxy/lost_commit_test.cpp
@@ -14,6 +14,8 @@
   CPPUNIT_TEST_SUITE(LostCommitTest);
   CPPUNIT_TEST(CommitsOfAReplicaThatLeftAreWaitedFor);
   CPPUNIT_TEST(CommitsThatClientsKnowAreWaitedFor);
+  CPPUNIT_TEST(PrimaryThatMayHoldThemIsWaitedForWithoutEnd);
+  CPPUNIT_TEST(PromotionByTheOperatorEndsTheWait);
   CPPUNIT_TEST(ServiceIsNotWithoutAPrimaryForEver);
   CPPUNIT_TEST_SUITE_END();
 
@@ -50,15 +52,41 @@
     CPPUNIT_ASSERT_EQUAL(std::string("t"), this->PublishedPrimary());
   }
 
-  // Nobody returns with the commits. A change of primary has to be over within
-  // 14 s.
+  // The primary has not crashed but is out of reach, alone with the commits.
+  // Guards against giving them up after some time.
+  void PrimaryThatMayHoldThemIsWaitedForWithoutEnd() {
+    this->LoseAllButOneReplica();
+    this->Run(milliseconds(30000));
+    CPPUNIT_ASSERT(this->promotion_calls.empty());
+    this->store->Remove("servers", "p");
+    this->Run(milliseconds(30000));
+    CPPUNIT_ASSERT(this->promotion_calls.empty());
+  }
+
+  // Guards against a service without a primary after operators gave the commits
+  // up and had the platform promote the replica.
+  void PromotionByTheOperatorEndsTheWait() {
+    this->LoseAllButOneReplica();
+    this->Run(milliseconds(15000));
+    this->members["r"].is_primary = true;
+    this->members["r"].term = 2;
+    this->members["r"].paused_term = 0;
+    this->Run(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::string("r"), this->PublishedPrimary());
+    CPPUNIT_ASSERT(!this->PublishedRecord()->is_changing);
+  }
+
+  // Nobody returns with the commits: their holders left as announced. A change
+  // of primary has to be over within 14 s.
   void ServiceIsNotWithoutAPrimaryForEver() {
     this->StartService();
+    this->members["p"].received = "1.9";
     this->Leave("q");
     this->pool->ObserveCommitted({1, 8});
-    this->databases["p"]->SetSilent(true);
+    this->Leave("p");
     this->Run(milliseconds(14000));
     CPPUNIT_ASSERT(!this->promotion_calls.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("r"), this->promotion_calls.front());
   }
 
  private:
@@ -69,11 +97,22 @@
     this->Run(milliseconds(3500));
   }
 
+  // The endpoint announces its departure, drains and leaves.
   void Leave(const std::string& id) {
+    this->PutEndpoint(id, "draining");
+    this->Run(milliseconds(7500));
     this->store->Remove("servers", id);
     this->databases[id]->SetSilent(true);
   }
 
+  // The replica that is left lacks commits, which only the primary holds.
+  void LoseAllButOneReplica() {
+    this->StartService();
+    this->Leave("q");
+    this->pool->ObserveCommitted({1, 8});
+    this->databases["p"]->SetSilent(true);
+  }
+
   // The crashed primary is back under another id, with its log.
   void RestartPrimary() {
     this->members["t"] = this->members["p"];
