Ask an endpoint before it is published as the primary

Cause: when the published primary is not registered any more, the leader published any endpoint whose registration says that it is the primary, in the newest known term. A former primary behind a cut says so as long as the cut lasts.

Evidence: the leader logs "another endpoint already is the primary" for i-za in the tick in which the registration of i-zb is gone, and the stale reads begin with that record. Ruled out: a read lease on the record of term 1 (it had ended 14 s before), and an older row that is taken for a newer one.

Change: all registered endpoints are asked first. The one published replied as the primary, in the highest known term, with the longest log, and is published in its own term. The same without a published record, where the first claim was published in term 0; and a change no longer publishes a primary below a known term.

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -40,6 +40,11 @@
 // be over.
 constexpr milliseconds kCommitWaitTimeout{9000};
 constexpr milliseconds kMemberQueryPeriod{100};
+// Endpoints are asked again which of them is the primary after this time.
+constexpr milliseconds kClaimPeriod{1000};
+// The registration of an endpoint that does not run lapses well within this
+// time.
+constexpr milliseconds kFirstClaimWait{8000};
 // Endpoints that are neither registered nor respond take a connection attempt
 // for each query.
 constexpr milliseconds kSilentQueryPeriod{1000};
@@ -107,7 +112,7 @@
   const routing::PrimaryRecord* record = this->context.primaries.Find(service);
   if (record == nullptr) {
     watch.last_response = now;
-    this->PublishInitialPrimary(service, watch);
+    this->CheckClaims(service, watch, now);
     return;
   }
   if (watch.change) {
@@ -123,21 +128,109 @@
   this->StartChangeIfNeeded(service, watch, now);
 }
 
-void FailoverManager::PublishInitialPrimary(const std::string& service,
-                                            ServiceWatch& watch) {
-  if (watch.is_publishing) {
-    return;
+bool FailoverManager::CheckClaims(const std::string& service,
+                                  ServiceWatch& watch, Instant now) {
+  ClaimRound& claims = watch.claims;
+  if (watch.is_publishing || !claims.pending.empty()) {
+    return true;
+  }
+  const routing::PrimaryRecord* record = this->context.primaries.Find(service);
+  const bool is_claimed = std::any_of(
+      this->context.endpoints.begin(), this->context.endpoints.end(),
+      [&](const auto& entry) {
+        return entry.second.service == service && entry.second.claims_primary &&
+               (record == nullptr || entry.first != record->endpoint_id);
+      });
+  if (!is_claimed || now < claims.started + kClaimPeriod) {
+    return false;
+  }
+  claims.started = now;
+  claims.members.clear();
+  if (record == nullptr && !claims.waiting_since) {
+    claims.waiting_since = now;
   }
   for (const auto& [id, endpoint] : this->context.endpoints) {
-    if (endpoint.service != service || !endpoint.claims_primary) {
-      continue;
+    if (endpoint.service == service) {
+      claims.pending.insert(id);
     }
-    watch.is_publishing = true;
-    this->WritePrimary({service, id, 0, false, 0}, [this, service](bool) {
-      this->watches[service].is_publishing = false;
-    });
+  }
+  for (const std::string& id : std::set<std::string>(claims.pending)) {
+    this->find_pool(service).RunInternal(
+        id, platform_adapter::StatusText(), kQueryTimeout,
+        [this, service,
+         id](const std::optional<statements::EndpointReply>& reply) {
+          this->OnClaimReply(service, id, reply);
+        });
+  }
+  return true;
+}
+
+void FailoverManager::OnClaimReply(
+    const std::string& service, const std::string& endpoint_id,
+    const std::optional<statements::EndpointReply>& reply) {
+  const auto found = this->watches.find(service);
+  if (found == this->watches.end()) {
     return;
   }
+  ServiceWatch& watch = found->second;
+  watch.claims.pending.erase(endpoint_id);
+  const auto state =
+      reply ? platform_adapter::DecodeEndpointState(reply->rows) : std::nullopt;
+  if (state) {
+    ChangeMember member;
+    member.id = endpoint_id;
+    member.has_answered = true;
+    member.is_primary = state->is_primary;
+    member.term = state->term;
+    member.received = state->received;
+    watch.claims.members.push_back(member);
+  }
+  if (watch.claims.pending.empty() && !watch.change && !watch.is_publishing &&
+      this->leadership.MayAct(this->context.clock.Now())) {
+    this->PublishClaimant(service, watch);
+  }
+}
+
+void FailoverManager::PublishClaimant(const std::string& service,
+                                      ServiceWatch& watch) {
+  const routing::PrimaryRecord* record = this->context.primaries.Find(service);
+  if (record != nullptr &&
+      this->context.endpoints.contains(record->endpoint_id)) {
+    return;
+  }
+  const ClaimRound& claims = watch.claims;
+  const auto registered = std::count_if(
+      this->context.endpoints.begin(), this->context.endpoints.end(),
+      [&](const auto& entry) { return entry.second.service == service; });
+  const bool have_all_replied =
+      std::cmp_equal(claims.members.size(), registered);
+  const Instant now = this->context.clock.Now();
+  // Without a published term, the one that does not reply may be the primary.
+  if (record == nullptr && !have_all_replied &&
+      now < claims.waiting_since.value_or(now) + kFirstClaimWait) {
+    return;
+  }
+  const model::Term published_term = record == nullptr ? 0 : record->term;
+  const std::optional<ChangeMember> primary = promotion::FindPrimary(
+      {claims.members, std::max(published_term, watch.term),
+       this->find_pool(service).Committed()});
+  if (!primary) {
+    return;
+  }
+  LogEvent(kChangeEnded,
+           {{"service", service},
+            {"endpoint", primary->id},
+            {"term", primary->term},
+            {"reason", "another endpoint already is the primary"}});
+  watch.is_publishing = true;
+  this->WritePrimary(
+      {service, primary->id, primary->term, false, 0}, [this, service](bool) {
+        const auto published = this->watches.find(service);
+        if (published != this->watches.end()) {
+          published->second.is_publishing = false;
+          published->second.last_response = this->context.clock.Now();
+        }
+      });
 }
 
 void FailoverManager::PublishAfterRestore(const routing::PrimaryRecord& record,
@@ -262,21 +355,8 @@
   if (!this->context.endpoints.contains(record.endpoint_id)) {
     // An endpoint that took over the log at the former address already is the
     // primary.
-    for (const auto& [id, endpoint] : this->context.endpoints) {
-      if (endpoint.service == service && endpoint.claims_primary &&
-          !watch.is_publishing) {
-        watch.is_publishing = true;
-        LogEvent(kChangeEnded,
-                 {{"service", service},
-                  {"endpoint", id},
-                  {"reason", "another endpoint already is the primary"}});
-        this->WritePrimary(
-            {service, id, watch.term, false, 0}, [this, service](bool) {
-              this->watches[service].is_publishing = false;
-              this->watches[service].last_response = this->context.clock.Now();
-            });
-        return;
-      }
+    if (this->CheckClaims(service, watch, now)) {
+      return;
     }
     // One that still responds acknowledges commits, together with replicas that
     // may not be registered either: it has to step down first.
@@ -285,8 +365,7 @@
                   kFailureTimeout;
     const bool may_start =
         !is_planned || this->HasAlternative(service, record.endpoint_id);
-    if (may_start && !watch.is_publishing &&
-        this->store.AreEndpointsComplete()) {
+    if (may_start && this->store.AreEndpointsComplete()) {
       this->StartChange(service, watch, is_planned,
                         "the primary is no longer registered", now);
     }
@@ -604,6 +683,9 @@
   if (!state) {
     return;
   }
+  if (watch != this->watches.end()) {
+    watch->second.term = std::max(watch->second.term, state->term);
+  }
   this->find_pool(service).SetLag(endpoint_id, state->lag,
                                   this->context.clock.Now());
   this->ObserveReplica(service, endpoint_id, *state);
--- a/programs/laburnumkeel-proxy/failover_manager.h
+++ b/programs/laburnumkeel-proxy/failover_manager.h
@@ -10,6 +10,7 @@
 
 #include "laburnumkeel/promotion/absence_evidence.h"
 #include "laburnumkeel/promotion/change_plan.h"
+#include "laburnumkeel/promotion/primary_claims.h"
 #include "platform/wire_codec.h"
 #include "programs/laburnumkeel-proxy/leadership.h"
 #include "programs/laburnumkeel-proxy/proxy_context.h"
@@ -36,7 +37,15 @@
   // otherwise, for example when the leader lease was lost during a call.
   ServiceWatch* FindChanging(const std::string& service);
   void WatchService(const std::string& service, kernel::Instant now);
-  void PublishInitialPrimary(const std::string& service, ServiceWatch& watch);
+  // Asks the endpoints of a service which of them is the primary, if one of
+  // them registered as such beside the published one. Returns true while a
+  // reply or the publication is awaited.
+  bool CheckClaims(const std::string& service, ServiceWatch& watch,
+                   kernel::Instant now);
+  void OnClaimReply(const std::string& service, const std::string& endpoint_id,
+                    const std::optional<statements::EndpointReply>& reply);
+  // Publishes the primary that the replies show.
+  void PublishClaimant(const std::string& service, ServiceWatch& watch);
   void QueryPrimary(const std::string& service, ServiceWatch& watch,
                     kernel::Instant now);
   void StartChangeIfNeeded(const std::string& service, ServiceWatch& watch,
--- a/programs/laburnumkeel-proxy/service_watch.h
+++ b/programs/laburnumkeel-proxy/service_watch.h
@@ -4,7 +4,9 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "laburnumkeel/kernel/clock.h"
 #include "laburnumkeel/promotion/change_plan.h"
@@ -40,6 +42,17 @@
   std::chrono::milliseconds held_notice{5000};
 };
 
+// A question to all endpoints of a service which of them is the primary.
+struct ClaimRound {
+  // When the last round began; zero before the first one.
+  kernel::Instant started;
+  // Endpoints that have not replied yet.
+  std::set<std::string> pending;
+  std::vector<promotion::ChangeMember> members;
+  // When the first round began without a published primary.
+  std::optional<kernel::Instant> waiting_since;
+};
+
 // The leader's view of a service's primary.
 struct ServiceWatch {
   kernel::Instant last_response;
@@ -51,6 +64,7 @@
   model::Term term = 0;
   bool is_publishing = false;
   std::optional<ServiceChange> change;
+  ClaimRound claims;
   // When each replica was last queried for its replication lag.
   std::map<std::string, kernel::Instant> replica_queried_at;
   // When the first unanswered query of each silent endpoint timed out.
--- a/src/laburnumkeel/promotion/change_plan.cpp
+++ b/src/laburnumkeel/promotion/change_plan.cpp
@@ -89,6 +89,10 @@
     // The former primary is promoted again only by this change.
     return newest->term >= view.next_term ? newest : nullptr;
   }
+  // One below a term that is known was replaced in that term.
+  if (newest->term + 1 < view.next_term) {
+    return nullptr;
+  }
   // A term has one primary, so another id in the published term is the former
   // primary, unless it has lost its log.
   const bool has_restarted =
--- a/src/laburnumkeel/promotion/change_plan.h
+++ b/src/laburnumkeel/promotion/change_plan.h
@@ -40,7 +40,7 @@
   bool is_planned = false;
   // Term of the former primary as published; 0 for the first one.
   model::Term published_term = 0;
-  // Term of the new primary: above all terms known when the change began.
+  // Term of the new primary: one above all terms known when the change began.
   model::Term next_term = 0;
   // Every read lease on the former primary has expired.
   bool read_leases_expired = false;
--- a/tests/promotion/change_plan_test.cpp
+++ b/tests/promotion/change_plan_test.cpp
@@ -116,6 +116,7 @@
   CPPUNIT_TEST(FormerPrimaryWithoutAcknowledgedCommitsProvesNothing);
   CPPUNIT_TEST(PublishesAnInheritedPromotion);
   CPPUNIT_TEST(PublishesAPromotionOfATermThatIsKnown);
+  CPPUNIT_TEST(PrimaryBelowAKnownTermIsNotPublished);
   CPPUNIT_TEST(OldPrimaryIsNotPublished);
   CPPUNIT_TEST(PrimaryThatRestartedUnderAnotherIdIsPublished);
   CPPUNIT_TEST(RestartedPrimaryWithoutItsLogIsNotPublished);
@@ -267,6 +268,19 @@
     CPPUNIT_ASSERT((NextStep(view) == ChangeStep{ChangeAction::kPublish, "b"}));
   }
 
+  // Guards against publishing a primary that was replaced before the service's
+  // record was written.
+  void PrimaryBelowAKnownTermIsNotPublished() {
+    ChangeView view = CrashedView(5, 7);
+    view.published_term = 1;
+    view.next_term = 4;
+    view.members[0].is_primary = true;
+    view.members[0].term = 2;
+    view.members[1].term = 3;
+    CPPUNIT_ASSERT(
+        (NextStep(view) == ChangeStep{ChangeAction::kStepDown, "a"}));
+  }
+
   // Guards against returning to a primary of an earlier term that has not heard
   // of its successor.
   void OldPrimaryIsNotPublished() {
