Compare a restarted primary with known commits before it is published

Cause: the longest log was sought among the members that had responded so far. Change: the log also has to reach the commits that replicas and clients are known to have. The test fails before (publish instead of step_down).

Not covered: a leader that has just started and knows of no commits yet.

--- a/src/laburnumkeel/promotion/change_plan.cpp
+++ b/src/laburnumkeel/promotion/change_plan.cpp
@@ -95,8 +95,9 @@
   }
   // A term has one primary, so another id in the published term is the former
   // primary, unless it has lost its log.
-  const bool has_restarted =
-      newest->term == view.published_term && HasLongestLog(*newest, view);
+  const bool has_restarted = newest->term == view.published_term &&
+                             newest->received >= view.committed &&
+                             HasLongestLog(*newest, view);
   return has_restarted || newest->term > view.published_term ? newest : nullptr;
 }
 
--- a/tests/promotion/change_plan_test.cpp
+++ b/tests/promotion/change_plan_test.cpp
@@ -120,6 +120,7 @@
   CPPUNIT_TEST(OldPrimaryIsNotPublished);
   CPPUNIT_TEST(PrimaryThatRestartedUnderAnotherIdIsPublished);
   CPPUNIT_TEST(RestartedPrimaryWithoutItsLogIsNotPublished);
+  CPPUNIT_TEST(RestartedPrimaryWithoutKnownCommitsIsNotPublished);
   CPPUNIT_TEST(ReturningPrimaryOfAnEarlierTermIsSteppedDown);
   CPPUNIT_TEST(NoAcknowledgedCommitIsLostAfterACrash);
   CPPUNIT_TEST(NoAcknowledgedCommitIsLostInAPlannedChange);
@@ -313,6 +314,18 @@
         (NextStep(view) == ChangeStep{ChangeAction::kStepDown, "d"}));
   }
 
+  // Guards against the same when it is the first to respond.
+  void RestartedPrimaryWithoutKnownCommitsIsNotPublished() {
+    ChangeView view = RestartedView();
+    view.members[0].has_answered = false;
+    view.members[1].has_answered = false;
+    CPPUNIT_ASSERT((NextStep(view) == ChangeStep{ChangeAction::kPublish, "d"}));
+    view.committed = view.members[2].received;
+    ++view.committed.position;
+    CPPUNIT_ASSERT(
+        (NextStep(view) == ChangeStep{ChangeAction::kStepDown, "d"}));
+  }
+
   // Guards against a change that pauses a primary of an earlier term without
   // end. The published one is lost.
   void ReturningPrimaryOfAnEarlierTermIsSteppedDown() {
