Resume a replica only when no former primary can use it

Cause: at the publication every member got RESUME, which has no term. A replica that does not reach the new primary then receives from the former one, which goes on until it steps down.

Evidence: the write waits at the former primary for the 1.5 s of the pause and is committed right after the RESUME. Ruled out: a replica that was not paused when the logs were compared, an acknowledgement without a replica.

Change: a replica is resumed once it has joined the new term, or once every other member has answered as a replica or is neither registered nor in reach. The leader checks that with the replies that it gets every 0.8 s anyway, so a successor goes on where a lost leader stopped, and tells a former primary that comes back to step down. A VM that knows the new primary answers a commit of another endpoint as unknown.

PrimaryClaimTest hides its former primary, which would now step down at once.

--- a/programs/laburnumkeel-proxy/events.h
+++ b/programs/laburnumkeel-proxy/events.h
@@ -98,6 +98,9 @@
     "a change of primary cannot proceed: the endpoints that it waits for do "
     "not "
     "respond, and may hold or acknowledge commits out of reach"};
+inline constexpr EventDefinition kReplicaResumed{
+    6555, Severity::kInformation, "replica_resumed",
+    "a replica that a change of primary had paused is told to receive again"};
 inline constexpr EventDefinition kChangeEnded{
     6525, Severity::kInformation, "change_ended", "a change of primary ended"};
 inline constexpr EventDefinition kStatementRefused{
@@ -122,6 +125,10 @@
 inline constexpr EventDefinition kAnswerLost{
     6537, Severity::kWarning, "answer_lost",
     "the connection to an endpoint closed before it answered a statement"};
+inline constexpr EventDefinition kCommitUnconfirmed{
+    6554, Severity::kWarning, "commit_unconfirmed",
+    "an endpoint reports a commit, and another one has been published as the "
+    "primary meanwhile; the client is told that the outcome is unknown"};
 inline constexpr EventDefinition kStatementMoved{
     6538, Severity::kInformation, "statement_moved",
     "the endpoint chosen for a statement may no longer receive it; another one "
@@ -230,39 +237,71 @@
     "this VM still holds the leader lease"};
 
 // All events of this program, for the event catalogue.
-inline constexpr std::array kEvents{
-    kProxyReady,         kProxyStopping,
-    kProxyStopped,       kSettingsReloaded,
-    kSettingsInvalid,    kStoreLost,
-    kStoreRegained,      kConfigurationInForce,
-    kRowIgnored,         kEvacuationChanged,
-    kEndpointChanged,    kEndpointLeaving,
-    kHistoryDropped,     kTableReadInFull,
-    kTableReadFailed,    kTableOutdated,
-    kRowsRelayed,        kRelayFailed,
-    kStoreRestored,      kPrimaryPublishedAgain,
-    kPromotionCalled,    kPromotionCallEnded,
-    kPrimaryAdopted,     kDutyTaken,
-    kDutyLost,           kChangeStarted,
-    kChangeStep,         kCommitsMissing,
-    kChangeHeld,         kChangeEnded,
-    kStatementRefused,   kSessionRefused,
-    kLinesOmitted,       kDatagramIgnored,
-    kProxyIsolated,      kConnectionLenderChanged,
-    kConnectionsScarce,  kEndpointRefused,
-    kClientLineRejected, kOpenTransactionEnded,
-    kAnswerLost,         kStatementMoved,
-    kLeaderAnnounced,    kOperationNotAdmitted,
-    kHandlerThrew,       kClientsLimited,
-    kAcceptPaused,       kAcceptResumed,
-    kReportersLimited,   kStatementRefusedEarly,
-    kEndpointEjected,    kRetryWithheld,
-    kDelegatesPublished, kDelegatesFollowed,
-    kDelegateSilent,     kDelegateUnconfirmed,
-    kUsageSettled,       kUsageReported,
-    kUsageMissed,        kUsageConflict,
-    kUsageCountRefused,  kUsageCalled,
-    kUsageCallEnded};
+inline constexpr std::array kEvents{kProxyReady,
+                                    kProxyStopping,
+                                    kProxyStopped,
+                                    kSettingsReloaded,
+                                    kSettingsInvalid,
+                                    kStoreLost,
+                                    kStoreRegained,
+                                    kConfigurationInForce,
+                                    kRowIgnored,
+                                    kEvacuationChanged,
+                                    kEndpointChanged,
+                                    kEndpointLeaving,
+                                    kHistoryDropped,
+                                    kTableReadInFull,
+                                    kTableReadFailed,
+                                    kTableOutdated,
+                                    kRowsRelayed,
+                                    kRelayFailed,
+                                    kStoreRestored,
+                                    kPrimaryPublishedAgain,
+                                    kPromotionCalled,
+                                    kPromotionCallEnded,
+                                    kPrimaryAdopted,
+                                    kDutyTaken,
+                                    kDutyLost,
+                                    kChangeStarted,
+                                    kChangeStep,
+                                    kCommitsMissing,
+                                    kChangeHeld,
+                                    kReplicaResumed,
+                                    kChangeEnded,
+                                    kStatementRefused,
+                                    kSessionRefused,
+                                    kLinesOmitted,
+                                    kDatagramIgnored,
+                                    kProxyIsolated,
+                                    kConnectionLenderChanged,
+                                    kConnectionsScarce,
+                                    kEndpointRefused,
+                                    kClientLineRejected,
+                                    kOpenTransactionEnded,
+                                    kAnswerLost,
+                                    kCommitUnconfirmed,
+                                    kStatementMoved,
+                                    kLeaderAnnounced,
+                                    kOperationNotAdmitted,
+                                    kHandlerThrew,
+                                    kClientsLimited,
+                                    kAcceptPaused,
+                                    kAcceptResumed,
+                                    kReportersLimited,
+                                    kStatementRefusedEarly,
+                                    kEndpointEjected,
+                                    kRetryWithheld,
+                                    kDelegatesPublished,
+                                    kDelegatesFollowed,
+                                    kDelegateSilent,
+                                    kDelegateUnconfirmed,
+                                    kUsageSettled,
+                                    kUsageReported,
+                                    kUsageMissed,
+                                    kUsageConflict,
+                                    kUsageCountRefused,
+                                    kUsageCalled,
+                                    kUsageCallEnded};
 
 }  // namespace laburnumkeel::proxy
 
--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -228,6 +228,7 @@
         const auto published = this->watches.find(service);
         if (published != this->watches.end()) {
           published->second.is_publishing = false;
+          published->second.replicas.clear();
           published->second.last_response = this->context.clock.Now();
         }
       });
@@ -683,12 +684,59 @@
   if (!state) {
     return;
   }
-  if (watch != this->watches.end()) {
-    watch->second.term = std::max(watch->second.term, state->term);
-  }
   this->find_pool(service).SetLag(endpoint_id, state->lag,
                                   this->context.clock.Now());
   this->ObserveReplica(service, endpoint_id, *state);
+  if (watch == this->watches.end()) {
+    return;
+  }
+  watch->second.term = std::max(watch->second.term, state->term);
+  if (!watch->second.change) {
+    this->Reconcile(service, watch->second, endpoint_id, *state);
+  }
+}
+
+void FailoverManager::Reconcile(const std::string& service, ServiceWatch& watch,
+                                const std::string& endpoint_id,
+                                const platform_adapter::EndpointState& state) {
+  const routing::PrimaryRecord* record = this->context.primaries.Find(service);
+  if (record == nullptr || record->is_changing ||
+      endpoint_id == record->endpoint_id) {
+    return;
+  }
+  if (state.is_primary) {
+    watch.replicas.erase(endpoint_id);
+    if (state.term < record->term) {
+      this->GiveOrder(service, endpoint_id,
+                      platform_adapter::StepDownText(record->term));
+    }
+    return;
+  }
+  watch.replicas.insert(endpoint_id);
+  if (state.paused_term == 0) {
+    return;
+  }
+  // One that has joined the term receives from its primary only.
+  if (state.term >= record->term ||
+      this->MayResume(service, watch, endpoint_id)) {
+    LogEvent(kReplicaResumed, {{"service", service},
+                               {"endpoint", endpoint_id},
+                               {"term", state.term},
+                               {"published_term", record->term}});
+    this->GiveOrder(service, endpoint_id, platform_adapter::ResumeText());
+  }
+}
+
+bool FailoverManager::MayResume(const std::string& service,
+                                const ServiceWatch& watch,
+                                const std::string& replica) const {
+  const std::string& primary =
+      this->context.primaries.Find(service)->endpoint_id;
+  const std::vector<std::string> members = this->Members(service, watch);
+  return std::all_of(
+      members.begin(), members.end(), [&](const std::string& id) {
+        return id == primary || id == replica || watch.replicas.contains(id);
+      });
 }
 
 void FailoverManager::AdvanceChange(const std::string& service,
@@ -914,15 +962,28 @@
 void FailoverManager::Publish(const std::string& service, ServiceWatch& watch,
                               const std::string& endpoint_id,
                               model::Term term) {
-  watch.change->is_publishing = true;
-  const std::string former = this->context.primaries.Find(service)->endpoint_id;
-  for (const std::string& id : this->KnownEndpoints(service)) {
-    if (id == endpoint_id || !this->IsPresent(watch, id)) {
+  ServiceChange& change = *watch.change;
+  change.is_publishing = true;
+  // A former primary goes on until it steps down, and a paused replica that
+  // cannot reach the new one would receive from it again.
+  bool may_former_go_on = false;
+  std::vector<std::string> paused;
+  for (const std::string& id : this->Members(service, watch)) {
+    const ChangeMember& member = change.members[id];
+    if (id == endpoint_id) {
       continue;
     }
-    this->GiveOrder(service, id,
-                    id == former ? platform_adapter::StepDownText(term)
-                                 : platform_adapter::ResumeText());
+    if (!member.has_answered || member.is_primary) {
+      may_former_go_on = true;
+      this->GiveOrder(service, id, platform_adapter::StepDownText(term));
+    } else if (member.paused_term != 0) {
+      paused.push_back(id);
+    }
+  }
+  for (const std::string& id : paused) {
+    if (!may_former_go_on || change.members[id].term >= term) {
+      this->GiveOrder(service, id, platform_adapter::ResumeText());
+    }
   }
   this->WritePrimary(
       {service, endpoint_id, term, false, 0},
@@ -943,6 +1004,7 @@
                    kernel::ToMilliseconds(this->context.clock.Now() -
                                           published->change->started)}});
         published->change.reset();
+        published->replicas.clear();
         published->has_lost_primary_role = false;
         published->last_response = this->context.clock.Now();
       });
--- a/programs/laburnumkeel-proxy/failover_manager.h
+++ b/programs/laburnumkeel-proxy/failover_manager.h
@@ -74,6 +74,16 @@
   void OnReplicaReply(const std::string& service,
                       const std::string& endpoint_id, kernel::Instant sent,
                       const std::optional<statements::EndpointReply>& reply);
+  // Gives the order that brings an endpoint into the service after a change of
+  // its primary, once that is safe: a primary of an earlier term steps down,
+  // and a paused replica receives again.
+  void Reconcile(const std::string& service, ServiceWatch& watch,
+                 const std::string& endpoint_id,
+                 const platform_adapter::EndpointState& state);
+  // True when no endpoint but the published primary may send log entries to
+  // this replica.
+  bool MayResume(const std::string& service, const ServiceWatch& watch,
+                 const std::string& replica) const;
   // Notes whether an endpoint replied to a query sent at `sent`.
   void ObserveSilence(const std::string& service, ServiceWatch& watch,
                       const std::string& endpoint_id, kernel::Instant sent,
--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -857,9 +857,14 @@
     this->OnRefused(job, *reply);
     return;
   }
+  const bool is_primary = this->selector.IsPrimary(job->endpoint_id);
+  if (job->commits_write && !is_primary) {
+    this->OnUnconfirmedCommit(job);
+    return;
+  }
   JobResult result;
   result.reply = reply;
-  result.was_primary = this->selector.IsPrimary(job->endpoint_id);
+  result.was_primary = is_primary;
   result.endpoint_id = job->endpoint_id;
   if (reply->state == TransactionState::kOpen && !job->is_internal) {
     result.connection = job->connection;
@@ -876,6 +881,19 @@
   }
 }
 
+void ServicePool::OnUnconfirmedCommit(const JobPointer& job) {
+  const Instant now = this->context.clock.Now();
+  this->context.metrics.Count("commits_unconfirmed");
+  this->context.request_log.Write(
+      kCommitUnconfirmed, now,
+      {{"request", job->statement.id},
+       {"service", this->service},
+       {"endpoint", job->endpoint_id},
+       {"elapsed_ms", kernel::ToMilliseconds(now - job->arrived)}});
+  this->Fail(job, ErrorCode::kUnknown,
+             "the endpoint that committed is not the primary any more");
+}
+
 void ServicePool::OnReplyLost(const JobPointer& job) {
   const Instant now = this->context.clock.Now();
   this->CountRun(*job);
--- a/programs/laburnumkeel-proxy/service_watch.h
+++ b/programs/laburnumkeel-proxy/service_watch.h
@@ -65,6 +65,9 @@
   bool is_publishing = false;
   std::optional<ServiceChange> change;
   ClaimRound claims;
+  // Endpoints that have replied as replicas since the primary was published. A
+  // replica does not become a primary without being published.
+  std::set<std::string> replicas;
   // When each replica was last queried for its replication lag.
   std::map<std::string, kernel::Instant> replica_queried_at;
   // When the first unanswered query of each silent endpoint timed out.
--- a/tests/proxy/primary_claim_test.cpp
+++ b/tests/proxy/primary_claim_test.cpp
@@ -25,8 +25,7 @@
   // endpoints and the leader, still reaches the store, and registers as the
   // primary when its successor is lost.
   void FormerPrimaryBehindACutIsNotPublished() {
-    this->StartService();
-    this->databases["p"]->SetSilent(true);
+    this->StartBehindACut();
     this->Lose("q");
     for (int step = 0; step < 100; ++step) {
       this->Run(milliseconds(100));
@@ -37,8 +36,9 @@
 
   // Guards against the same with a former primary that replies.
   void FormerPrimaryOfAnEarlierTermIsSteppedDown() {
-    this->StartService();
+    this->StartBehindACut();
     this->Lose("q");
+    this->databases["p"]->SetSilent(false);
     for (int step = 0; step < 100 && this->promotion_calls.empty(); ++step) {
       this->Run(milliseconds(100));
       CPPUNIT_ASSERT_EQUAL(std::string("q"), this->PublishedPrimary());
@@ -123,6 +123,12 @@
                      {{"endpoint", "q"}, {"term", 2}, {"changing", false}});
     this->BecomeLeader();
     this->Run(milliseconds(3500));
+  }
+
+  // The leader does not reach the former primary, which does not step down.
+  void StartBehindACut() {
+    this->databases["p"]->SetSilent(true);
+    this->StartService();
     CPPUNIT_ASSERT(this->members["p"].is_primary);
   }
 
--- a/tests/proxy/service_pool_test.cpp
+++ b/tests/proxy/service_pool_test.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(StatementThatCannotBeServedInTimeIsRefused);
   CPPUNIT_TEST(AllowedRegionsAreRespected);
   CPPUNIT_TEST(SuccessfulWriteIsACommittedPosition);
+  CPPUNIT_TEST(CommitAtAFormerPrimaryIsUnknown);
   CPPUNIT_TEST(OnlyCommitsOfThePublishedTermCount);
   CPPUNIT_TEST_SUITE_END();
 
@@ -298,6 +299,20 @@
     CPPUNIT_ASSERT((this->pool->Committed() == model::LogPosition{1, 6}));
   }
 
+  // Guards against passing on the success of a write that the former primary
+  // committed beside its published successor.
+  void CommitAtAFormerPrimaryIsUnknown() {
+    this->primary->SetScript([this](std::string_view line) {
+      this->context->primaries.Adopt({"s", "r", 2, false, 2});
+      return this->primary->Succeed(line);
+    });
+    const JobPointer write = this->Write();
+    write->commits_write = true;
+    const JobResult result = this->Run(write);
+    CPPUNIT_ASSERT(!result.reply && result.error == ErrorCode::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(1, this->primary->Count("WRITE"));
+  }
+
   // Guards against a wait for commits that a promotion has cut back.
   void OnlyCommitsOfThePublishedTermCount() {
     this->pool->ObserveCommitted({1, 9});
