Publish no returned primary beside a promotion that is under way

Cause: the branch for a primary that returns under another id did not ask whether a promotion call had been made. The same primary under its own id was stepped down already.

Change: it is told to step down, and the promoted endpoint is published. RestartedPrimaryIsNotPublishedBesideAPromotion fails before (publish).

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -786,6 +786,7 @@
     // An endpoint that has left is not promoted by a late call any more.
     change.promotion_target.clear();
   }
+  view.is_promotion_called = !change.promotion_target.empty();
   this->UpdateProofs(service, watch, view, now);
   const ChangeStep step = promotion::NextStep(view);
   const bool touches_replica = step.action == ChangeAction::kPause ||
--- a/src/laburnumkeel/promotion/change_plan.cpp
+++ b/src/laburnumkeel/promotion/change_plan.cpp
@@ -95,9 +95,10 @@
   }
   // A term has one primary, so another id in the published term is the former
   // primary, unless it has lost its log.
-  const bool has_restarted = newest->term == view.published_term &&
-                             newest->received >= view.committed &&
-                             HasLongestLog(*newest, view);
+  // Beside a promotion that is under way it must not accept commits.
+  const bool has_restarted =
+      newest->term == view.published_term && !view.is_promotion_called &&
+      newest->received >= view.committed && HasLongestLog(*newest, view);
   return has_restarted || newest->term > view.published_term ? newest : nullptr;
 }
 
--- a/src/laburnumkeel/promotion/change_plan.h
+++ b/src/laburnumkeel/promotion/change_plan.h
@@ -42,6 +42,8 @@
   model::Term published_term = 0;
   // Term of the new primary: one above all terms known when the change began.
   model::Term next_term = 0;
+  // The platform was asked to promote an endpoint, and may do so at any moment.
+  bool is_promotion_called = false;
   // Every read lease on the former primary has expired.
   bool read_leases_expired = false;
   // `members` were read from the store after the last of them was paused.
--- a/tests/promotion/change_plan_test.cpp
+++ b/tests/promotion/change_plan_test.cpp
@@ -121,6 +121,7 @@
   CPPUNIT_TEST(PrimaryThatRestartedUnderAnotherIdIsPublished);
   CPPUNIT_TEST(RestartedPrimaryWithoutItsLogIsNotPublished);
   CPPUNIT_TEST(RestartedPrimaryWithoutKnownCommitsIsNotPublished);
+  CPPUNIT_TEST(RestartedPrimaryIsNotPublishedBesideAPromotion);
   CPPUNIT_TEST(ReturningPrimaryOfAnEarlierTermIsSteppedDown);
   CPPUNIT_TEST(NoAcknowledgedCommitIsLostAfterACrash);
   CPPUNIT_TEST(NoAcknowledgedCommitIsLostInAPlannedChange);
@@ -326,6 +327,18 @@
         (NextStep(view) == ChangeStep{ChangeAction::kStepDown, "d"}));
   }
 
+  // Guards against commits of a primary that returns while the promotion of
+  // another endpoint is under way.
+  void RestartedPrimaryIsNotPublishedBesideAPromotion() {
+    ChangeView view = RestartedView();
+    view.is_promotion_called = true;
+    CPPUNIT_ASSERT(
+        (NextStep(view) == ChangeStep{ChangeAction::kStepDown, "d"}));
+    view.members[1].is_primary = true;
+    view.members[1].term = view.next_term;
+    CPPUNIT_ASSERT((NextStep(view) == ChangeStep{ChangeAction::kPublish, "b"}));
+  }
+
   // Guards against a change that pauses a primary of an earlier term without
   // end. The published one is lost.
   void ReturningPrimaryOfAnEarlierTermIsSteppedDown() {
