Do not wait for an endpoint whose address another one has taken

Cause: an unregistered endpoint was dropped when another one registered at its address afterwards; here the other one registered before the row expired.

Change: an endpoint is not kept as unregistered if its address is in use, and is left out of changes as soon as a later start is registered there. Two tests of UnregisteredEndpointTest fail before, the second one also before this issue.

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -441,9 +441,20 @@
   return ids;
 }
 
+bool FailoverManager::IsRegistered(const std::string& endpoint_id) const {
+  const auto found = this->context.endpoints.find(endpoint_id);
+  return found != this->context.endpoints.end() &&
+         std::none_of(this->context.endpoints.begin(),
+                      this->context.endpoints.end(), [&](const auto& other) {
+                        return other.second.address == found->second.address &&
+                               other.second.started_at_ms >
+                                   found->second.started_at_ms;
+                      });
+}
+
 bool FailoverManager::IsPresent(const ServiceWatch& watch,
                                 const std::string& endpoint_id) const {
-  return this->context.endpoints.contains(endpoint_id) ||
+  return this->IsRegistered(endpoint_id) ||
          (watch.change && watch.change->members.contains(endpoint_id) &&
           !watch.silent_since.contains(endpoint_id));
 }
--- a/programs/laburnumkeel-proxy/failover_manager.h
+++ b/programs/laburnumkeel-proxy/failover_manager.h
@@ -90,6 +90,9 @@
                       bool has_replied);
   // The registered endpoints of a service, and those that were until recently.
   std::vector<std::string> KnownEndpoints(const std::string& service) const;
+  // True when the endpoint is registered, and its address not also that of an
+  // endpoint which started later.
+  bool IsRegistered(const std::string& endpoint_id) const;
   // True when the endpoint is registered, or responds nevertheless.
   bool IsPresent(const ServiceWatch& watch,
                  const std::string& endpoint_id) const;
--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -729,7 +729,15 @@
 void StoreLink::Unregister(const std::string& id) {
   const auto known = this->context.endpoints.extract(id);
   const auto draining = this->draining_since.extract(id);
-  if (!known.empty()) {
+  const auto has_its_address = [&](const auto& entry) {
+    return entry.second.address == known.mapped().address;
+  };
+  // An address has one owner: the process at the other end has ended.
+  const bool is_replaced =
+      !known.empty() &&
+      std::any_of(this->context.endpoints.begin(),
+                  this->context.endpoints.end(), has_its_address);
+  if (!known.empty() && !is_replaced) {
     this->context.unregistered_endpoints[id] = {
         known.mapped(), this->context.clock.Now(),
         draining.empty() ? std::nullopt : std::optional(draining.mapped())};
--- a/tests/proxy/unregistered_endpoint_test.cpp
+++ b/tests/proxy/unregistered_endpoint_test.cpp
@@ -17,6 +17,8 @@
   CPPUNIT_TEST(ReplicaThatIsGoneDelaysNothing);
   CPPUNIT_TEST(PrimaryStaysWithoutAnAlternative);
   CPPUNIT_TEST(SuccessorAtTheSameAddressReplacesIt);
+  CPPUNIT_TEST(SuccessorMayRegisterBeforeItsPredecessorIsRemoved);
+  CPPUNIT_TEST(ReplacedEndpointIsNotWaitedFor);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -85,6 +87,29 @@
     CPPUNIT_ASSERT(this->context->unregistered_endpoints.empty());
   }
 
+  // Guards against the same when the registration of the predecessor expires
+  // later.
+  void SuccessorMayRegisterBeforeItsPredecessorIsRemoved() {
+    this->StartService();
+    this->ReplaceReplica();
+    this->store->Remove("servers", "r");
+    this->Run(milliseconds(4500));
+    CPPUNIT_ASSERT(!this->context->endpoints.contains("r"));
+    CPPUNIT_ASSERT(this->context->unregistered_endpoints.empty());
+  }
+
+  // Load pattern: a replica is lost, a database of another service starts at
+  // its address, and then the primary crashes. Guards against a change that
+  // waits for the registration of the replica to expire.
+  void ReplacedEndpointIsNotWaitedFor() {
+    this->StartService();
+    this->databases["r"]->SetSilent(true);
+    this->ReplaceReplica();
+    this->databases["p"]->SetSilent(true);
+    this->Run(milliseconds(4000));
+    this->AssertOnlyPromoted("q");
+  }
+
  private:
   void StartService() {
     this->store->Put(std::string(kFleetTable), "primary/s",
@@ -93,6 +118,16 @@
     this->Run(milliseconds(3500));
   }
 
+  // Another endpoint starts at the address of `r`.
+  void ReplaceReplica() {
+    nlohmann::json entry =
+        testing::EndpointEntry(this->databases["r"]->Address());
+    entry["service"] = "other";
+    entry["born"] = 5000;
+    this->store->Put("servers", "u", entry);
+    this->Run(milliseconds(1500));
+  }
+
   void AssertOnlyPromoted(const std::string& id) {
     CPPUNIT_ASSERT(!this->promotion_calls.empty());
     for (const std::string& promoted : this->promotion_calls) {
