Ask endpoints that claim to be the primary after the others

ExpiredReplicaIsWaitedFor failed since endpoints are asked: a primary whose replica had a longer log was not published. With a primary that runs this is common, as a replica that replies a moment later has received more; each attempt would have taken another second.

Change: the claimants are asked last, and have to hold what was known to be committed by then. Without a published record the logs are not compared, since nobody else could take over.

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -151,9 +151,29 @@
   }
   for (const auto& [id, endpoint] : this->context.endpoints) {
     if (endpoint.service == service) {
-      claims.pending.insert(id);
+      (endpoint.claims_primary ? claims.claimants : claims.pending).insert(id);
     }
   }
+  if (claims.pending.empty()) {
+    this->AskClaimants(service, claims);
+  } else {
+    this->AskPending(service, claims);
+  }
+  return true;
+}
+
+void FailoverManager::AskClaimants(const std::string& service,
+                                   ClaimRound& claims) {
+  claims.committed = this->find_pool(service).Committed();
+  for (const ChangeMember& member : claims.members) {
+    claims.committed = std::max(claims.committed, member.received);
+  }
+  claims.pending = std::exchange(claims.claimants, {});
+  this->AskPending(service, claims);
+}
+
+void FailoverManager::AskPending(const std::string& service,
+                                 const ClaimRound& claims) {
   for (const std::string& id : std::set<std::string>(claims.pending)) {
     this->find_pool(service).RunInternal(
         id, platform_adapter::StatusText(), kQueryTimeout,
@@ -162,7 +182,6 @@
           this->OnClaimReply(service, id, reply);
         });
   }
-  return true;
 }
 
 void FailoverManager::OnClaimReply(
@@ -185,7 +204,14 @@
     member.received = state->received;
     watch.claims.members.push_back(member);
   }
-  if (watch.claims.pending.empty() && !watch.change && !watch.is_publishing &&
+  if (!watch.claims.pending.empty()) {
+    return;
+  }
+  if (!watch.claims.claimants.empty()) {
+    this->AskClaimants(service, watch.claims);
+    return;
+  }
+  if (!watch.change && !watch.is_publishing &&
       this->leadership.MayAct(this->context.clock.Now())) {
     this->PublishClaimant(service, watch);
   }
@@ -213,7 +239,8 @@
   const model::Term published_term = record == nullptr ? 0 : record->term;
   const std::optional<ChangeMember> primary = promotion::FindPrimary(
       {claims.members, std::max(published_term, watch.term),
-       this->find_pool(service).Committed()});
+       // Without a record nobody else could take over.
+       record == nullptr ? model::LogPosition() : claims.committed});
   if (!primary) {
     return;
   }
--- a/programs/laburnumkeel-proxy/failover_manager.h
+++ b/programs/laburnumkeel-proxy/failover_manager.h
@@ -42,6 +42,9 @@
   // reply or the publication is awaited.
   bool CheckClaims(const std::string& service, ServiceWatch& watch,
                    kernel::Instant now);
+  void AskClaimants(const std::string& service, ClaimRound& claims);
+  // Asks the endpoints of the round that are pending.
+  void AskPending(const std::string& service, const ClaimRound& claims);
   void OnClaimReply(const std::string& service, const std::string& endpoint_id,
                     const std::optional<statements::EndpointReply>& reply);
   // Publishes the primary that the replies show.
--- a/programs/laburnumkeel-proxy/service_watch.h
+++ b/programs/laburnumkeel-proxy/service_watch.h
@@ -42,12 +42,17 @@
   std::chrono::milliseconds held_notice{5000};
 };
 
-// A question to all endpoints of a service which of them is the primary.
+// A question to all endpoints of a service which of them is the primary. Those
+// that claim to be are asked last, so that their logs are not behind for having
+// replied earlier.
 struct ClaimRound {
   // When the last round began; zero before the first one.
   kernel::Instant started;
-  // Endpoints that have not replied yet.
+  // Endpoints that have not replied yet, and those to be asked after them.
   std::set<std::string> pending;
+  std::set<std::string> claimants;
+  // What was known to be committed when the claimants were asked.
+  model::LogPosition committed;
   std::vector<promotion::ChangeMember> members;
   // When the first round began without a published primary.
   std::optional<kernel::Instant> waiting_since;
--- a/src/laburnumkeel/promotion/primary_claims.cpp
+++ b/src/laburnumkeel/promotion/primary_claims.cpp
@@ -17,10 +17,7 @@
   }
   const bool is_newest = std::all_of(
       claims.members.begin(), claims.members.end(),
-      [&](const ChangeMember& member) {
-        return member.term <= newest->term &&
-               (member.is_primary || member.received <= newest->received);
-      });
+      [&](const ChangeMember& member) { return member.term <= newest->term; });
   return is_newest ? std::optional(*newest) : std::nullopt;
 }
 
--- a/src/laburnumkeel/promotion/primary_claims.h
+++ b/src/laburnumkeel/promotion/primary_claims.h
@@ -18,14 +18,16 @@
   std::vector<ChangeMember> members;
   // The highest term known from elsewhere, such as the published one.
   model::Term known_term = 0;
-  // Commits up to here may have been acknowledged.
+  // Commits up to here may have been acknowledged, by what was known before the
+  // endpoints that claim to be the primary were asked: a primary that runs goes
+  // on meanwhile.
   model::LogPosition committed{};
 
   bool operator==(const PrimaryClaims&) const = default;
 };
 
 // Returns the endpoint that is the primary in the highest known term and has
-// the longest log; empty without one. A term has one primary, so an endpoint
+// all known commits; empty without one. A term has one primary, so an endpoint
 // that claims the published term under another id has restarted.
 std::optional<ChangeMember> FindPrimary(const PrimaryClaims& claims);
 
