Keep the endpoints of a service in the store for later leaders

Cause: which endpoints may acknowledge commits was known from registrations that this process had seen, and from nothing else.

Change: the leader writes the list of a service's endpoints to the store when it changes, under the condition of its lease. A VM that reads an endpoint there that is neither registered nor replaced at its address takes it for one out of reach, until there is evidence against it.

LeaderThatStartsLaterKnowsTheMembers fails before (a promotion of r); MembersThatLeftAreForgotten guards against a wait for endpoints that are shown to be absent.

--- a/programs/laburnumkeel-proxy/events.h
+++ b/programs/laburnumkeel-proxy/events.h
@@ -101,6 +101,14 @@
 inline constexpr EventDefinition kReplicaResumed{
     6555, Severity::kInformation, "replica_resumed",
     "a replica that a change of primary had paused is told to receive again"};
+inline constexpr EventDefinition kMemberUnregistered{
+    6556, Severity::kInformation, "member_unregistered",
+    "this VM learns of an endpoint of a service that it never saw registered; "
+    "it may hold commits out of reach"};
+inline constexpr EventDefinition kMembersWritten{
+    6557, Severity::kInformation, "members_written",
+    "the endpoints that take part in a service changed and were written to the "
+    "store for later leaders"};
 inline constexpr EventDefinition kChangeEnded{
     6525, Severity::kInformation, "change_ended", "a change of primary ended"};
 inline constexpr EventDefinition kStatementRefused{
@@ -267,6 +275,8 @@
                                     kCommitsMissing,
                                     kChangeHeld,
                                     kReplicaResumed,
+                                    kMemberUnregistered,
+                                    kMembersWritten,
                                     kChangeEnded,
                                     kStatementRefused,
                                     kSessionRefused,
--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -40,6 +40,8 @@
 // be over.
 constexpr milliseconds kCommitWaitTimeout{9000};
 constexpr milliseconds kMemberQueryPeriod{100};
+// Endpoints that are replaced in turn are written together.
+constexpr milliseconds kMembersWritePeriod{1000};
 // Endpoints are asked again which of them is the primary after this time.
 constexpr milliseconds kClaimPeriod{1000};
 // The registration of an endpoint that does not run lapses well within this
@@ -125,6 +127,7 @@
                this->find_pool(service).LastContact(record->endpoint_id));
   this->QueryPrimary(service, watch, now);
   this->QueryReplicas(service, watch, now);
+  this->WriteMembers(service, watch, now);
   this->StartChangeIfNeeded(service, watch, now);
 }
 
@@ -525,6 +528,61 @@
   return ids;
 }
 
+void FailoverManager::WriteMembers(const std::string& service,
+                                   ServiceWatch& watch, Instant now) {
+  if (watch.is_writing_members ||
+      now < watch.members_written_at + kMembersWritePeriod ||
+      !this->store.AreEndpointsComplete() || !this->store.HasReadFleetInEra()) {
+    return;
+  }
+  std::vector<std::string> ids = this->Members(service, watch);
+  std::sort(ids.begin(), ids.end());
+  const StoreLink::MembersRow* known = this->store.FindMembers(service);
+  if (ids.empty() || (known != nullptr && known->ids == ids)) {
+    return;
+  }
+  std::vector<model::DatabaseEndpoint> endpoints;
+  for (const std::string& id : ids) {
+    const auto registered = this->context.endpoints.find(id);
+    endpoints.push_back(
+        registered != this->context.endpoints.end()
+            ? registered->second
+            : this->context.unregistered_endpoints.at(id).endpoint);
+  }
+  watch.members_written_at = now;
+  watch.is_writing_members = true;
+  const std::string key = std::string(kMembersKeyPrefix) + service;
+  const std::string table(kFleetTable);
+  this->store.Write(
+      [this, table, key, service, value = EncodeMembers(endpoints)]()
+          -> std::optional<StoreLink::Transaction> {
+        if (!this->leadership.IsLeader()) {
+          return std::nullopt;
+        }
+        const StoreLink::MembersRow* row = this->store.FindMembers(service);
+        return StoreLink::Transaction{
+            {{table, key, row == nullptr ? 0 : row->version},
+             {table, std::string(kLeaderKey),
+              this->leadership.Lease().Version()}},
+            {{table, key, value}}};
+      },
+      [this, service, ids](const WriteOutcome& outcome) {
+        const auto written = this->watches.find(service);
+        if (written != this->watches.end()) {
+          written->second.is_writing_members = false;
+        }
+        if (outcome.kind != WriteOutcome::Kind::kDone) {
+          this->store.ReadFleetSoon();
+          return;
+        }
+        LogEvent(kMembersWritten,
+                 {{"service", service},
+                  {"endpoints", ids.size()},
+                  {"row_version", model::VersionText(outcome.version)}});
+        this->store.OnMembersWritten(service, {outcome.version, ids});
+      });
+}
+
 void FailoverManager::QueryMembers(const std::string& service,
                                    ServiceWatch& watch, Instant now) {
   ServiceChange& change = *watch.change;
--- a/programs/laburnumkeel-proxy/failover_manager.h
+++ b/programs/laburnumkeel-proxy/failover_manager.h
@@ -110,6 +110,11 @@
   // The known endpoints that take part in a change.
   std::vector<std::string> Members(const std::string& service,
                                    const ServiceWatch& watch) const;
+  // Writes to the store which endpoints take part in the service, if that has
+  // changed: a leader whose process starts later cannot know of those whose
+  // registration is gone by then.
+  void WriteMembers(const std::string& service, ServiceWatch& watch,
+                    kernel::Instant now);
   void QueryMembers(const std::string& service, ServiceWatch& watch,
                     kernel::Instant now);
   void QueryMember(const std::string& service, const std::string& endpoint_id);
--- a/programs/laburnumkeel-proxy/fleet_rows.cpp
+++ b/programs/laburnumkeel-proxy/fleet_rows.cpp
@@ -104,6 +104,32 @@
   }
 }
 
+std::string EncodeMembers(const std::vector<model::DatabaseEndpoint>& members) {
+  json document = json::array();
+  for (const model::DatabaseEndpoint& member : members) {
+    document.push_back({member.id, member.address, member.data_centre});
+  }
+  return document.dump();
+}
+
+std::optional<std::vector<model::DatabaseEndpoint>> DecodeMembers(
+    std::string_view service, std::string_view value) {
+  try {
+    std::vector<model::DatabaseEndpoint> members;
+    for (const json& fields : json::parse(value)) {
+      model::DatabaseEndpoint member;
+      member.id = fields.at(0).get<std::string>();
+      member.service = service;
+      member.address = fields.at(1).get<std::string>();
+      member.data_centre = fields.at(2).get<std::string>();
+      members.push_back(std::move(member));
+    }
+    return members;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
 std::string EncodeVm(const VmRow& row) {
   return json({{"address", row.address},
                {"processor_share", row.processor_share},
--- a/programs/laburnumkeel-proxy/fleet_rows.h
+++ b/programs/laburnumkeel-proxy/fleet_rows.h
@@ -4,7 +4,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "laburnumkeel/model/database_endpoint.h"
 #include "laburnumkeel/promotion/leader_lease.h"
 #include "laburnumkeel/routing/primary_table.h"
 
@@ -18,6 +20,7 @@
 // Prefixes of keys that end with the name of a service or of a VM.
 inline constexpr std::string_view kPrimaryKeyPrefix = "primary/";
 inline constexpr std::string_view kVmKeyPrefix = "vm/";
+inline constexpr std::string_view kMembersKeyPrefix = "members/";
 
 std::string EncodeLeader(const promotion::LeaderRecord& record);
 // Empty when the value cannot be read.
@@ -41,6 +44,14 @@
   bool operator==(const VmRow&) const = default;
 };
 
+// The endpoints that take part in a service: those that are registered, and
+// those that may still acknowledge commits without a registration. Only `id`,
+// `service`, `address` and `data_centre` are kept.
+std::string EncodeMembers(const std::vector<model::DatabaseEndpoint>& members);
+// Empty when the value cannot be read.
+std::optional<std::vector<model::DatabaseEndpoint>> DecodeMembers(
+    std::string_view service, std::string_view value);
+
 std::string EncodeVm(const VmRow& row);
 // Empty when the value cannot be read.
 std::optional<VmRow> DecodeVm(std::string_view value);
--- a/programs/laburnumkeel-proxy/service_watch.h
+++ b/programs/laburnumkeel-proxy/service_watch.h
@@ -75,6 +75,10 @@
   std::set<std::string> replicas;
   // When each replica was last queried for its replication lag.
   std::map<std::string, kernel::Instant> replica_queried_at;
+  // When the list of endpoints was written last, and whether the answer is
+  // awaited.
+  kernel::Instant members_written_at;
+  bool is_writing_members = false;
   // When the first unanswered query of each silent endpoint timed out.
   std::map<std::string, kernel::Instant> silent_since;
 };
--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -729,21 +729,20 @@
 void StoreLink::Unregister(const std::string& id) {
   const auto known = this->context.endpoints.extract(id);
   const auto draining = this->draining_since.extract(id);
-  const auto has_its_address = [&](const auto& entry) {
-    return entry.second.address == known.mapped().address;
-  };
   // An address has one owner: the process at the other end has ended.
-  const bool is_replaced =
-      !known.empty() &&
-      std::any_of(this->context.endpoints.begin(),
-                  this->context.endpoints.end(), has_its_address);
-  if (!known.empty() && !is_replaced) {
+  if (!known.empty() && !this->HasRegistered(known.mapped().address)) {
     this->context.unregistered_endpoints[id] = {
         known.mapped(), this->context.clock.Now(),
         draining.empty() ? std::nullopt : std::optional(draining.mapped())};
   }
 }
 
+bool StoreLink::HasRegistered(const std::string& address) const {
+  return std::any_of(
+      this->context.endpoints.begin(), this->context.endpoints.end(),
+      [&](const auto& entry) { return entry.second.address == address; });
+}
+
 void StoreLink::ForgetUnregisteredEndpoints(Instant now) {
   std::erase_if(this->context.unregistered_endpoints, [&](const auto& entry) {
     const UnregisteredEndpoint& unregistered = entry.second;
@@ -786,6 +785,7 @@
   this->fleet_called_era = this->era;
   this->loaded_vms.clear();
   this->loaded_primaries.clear();
+  this->loaded_members.clear();
   this->ReadFleetPage("");
 }
 
@@ -832,6 +832,8 @@
       }
     } else if (row.key.starts_with(kPrimaryKeyPrefix)) {
       has_changed |= this->ApplyPrimary(row, sent);
+    } else if (row.key.starts_with(kMembersKeyPrefix)) {
+      has_changed |= this->ApplyMembers(row);
     } else if (row.key.starts_with(kVmKeyPrefix)) {
       // A row that cannot be read still counts as a VM with a share.
       this->loaded_vms[row.key.substr(kVmKeyPrefix.size())] =
@@ -873,11 +875,53 @@
   return has_changed;
 }
 
+bool StoreLink::ApplyMembers(const StoreRow& row) {
+  const std::string service = row.key.substr(kMembersKeyPrefix.size());
+  const auto listed = DecodeMembers(service, row.value);
+  MembersRow& members_row = this->loaded_members[service];
+  members_row.version = row.version;
+  if (!listed) {
+    LogEvent(kRowIgnored, {{"key", row.key}});
+    return false;
+  }
+  bool has_changed = false;
+  for (const model::DatabaseEndpoint& endpoint : *listed) {
+    members_row.ids.push_back(endpoint.id);
+    const bool is_known =
+        this->context.endpoints.contains(endpoint.id) ||
+        this->context.unregistered_endpoints.contains(endpoint.id) ||
+        this->HasRegistered(endpoint.address);
+    // Before the table of endpoints was read, none of them is known.
+    if (is_known || this->endpoints_current_since == Instant()) {
+      continue;
+    }
+    LogEvent(kMemberUnregistered,
+             {{"service", service},
+              {"endpoint", endpoint.id},
+              {"row_version", model::VersionText(row.version)}});
+    this->context.unregistered_endpoints[endpoint.id] = {
+        endpoint, this->context.clock.Now(), std::nullopt};
+    has_changed = true;
+  }
+  return has_changed;
+}
+
+const StoreLink::MembersRow* StoreLink::FindMembers(
+    const std::string& service) const {
+  const auto found = this->members.find(service);
+  return found == this->members.end() ? nullptr : &found->second;
+}
+
+void StoreLink::OnMembersWritten(const std::string& service, MembersRow row) {
+  this->members[service] = std::move(row);
+}
+
 void StoreLink::OnFleetRead(Instant sent) {
   this->fleet_read_sent = sent;
   this->fleet_read_era = this->era;
   this->ForgetMissingPrimaries();
   this->vms = std::exchange(this->loaded_vms, {});
+  this->members = std::exchange(this->loaded_members, {});
   this->context.vm_count = std::max<int>(1, static_cast<int>(this->vms.size()));
   const auto own = this->vms.find(this->context.settings.vm);
   // A VM may come back under its name at another address.
--- a/programs/laburnumkeel-proxy/store_link.h
+++ b/programs/laburnumkeel-proxy/store_link.h
@@ -139,6 +139,16 @@
   // Version of the row of a service's primary; 0 when there is none.
   std::uint64_t PrimaryVersion(const std::string& service) const;
 
+  // A row that lists the endpoints of a service.
+  struct MembersRow {
+    std::uint64_t version = 0;
+    std::vector<std::string> ids;
+  };
+  // The row of a service's endpoints; null when there is none.
+  const MembersRow* FindMembers(const std::string& service) const;
+  // Records that the row was written.
+  void OnMembersWritten(const std::string& service, MembersRow row);
+
   // Records the version at which the row of a service's primary was read or
   // written.
   void OnPrimaryWritten(const std::string& service, std::uint64_t version);
@@ -264,6 +274,8 @@
   bool RemoveExpiredEndpoints();
   // Moves an endpoint to those that are not registered any more.
   void Unregister(const std::string& id);
+  // True when an endpoint with this address is registered.
+  bool HasRegistered(const std::string& address) const;
   // Drops endpoints that have been unregistered for long.
   void ForgetUnregisteredEndpoints(kernel::Instant now);
 
@@ -275,6 +287,9 @@
   // Returns true when the row changed a primary.
   bool ApplyPrimary(const platform_adapter::StoreRow& row,
                     kernel::Instant sent);
+  // Takes endpoints over that this VM never saw registered. Returns true when
+  // there was one.
+  bool ApplyMembers(const platform_adapter::StoreRow& row);
   // Forgets rows of primaries that a reading of the fleet table did not return.
   void ForgetMissingPrimaries();
   VmRow OwnRow() const;
@@ -314,6 +329,9 @@
   std::map<std::string, VmRow> vms;
   // VMs on the pages of the fleet table that were read so far.
   std::map<std::string, VmRow> loaded_vms;
+  std::map<std::string, MembersRow> members;
+  // Rows of members on those pages.
+  std::map<std::string, MembersRow> loaded_members;
   // Services whose primary is on those pages.
   std::set<std::string> loaded_primaries;
   // When all endpoints were last known to be current, and since when that has
--- a/tests/proxy/fleet_rows_test.cpp
+++ b/tests/proxy/fleet_rows_test.cpp
@@ -10,6 +10,8 @@
   CPPUNIT_TEST(LeaderRecordRoundTrips);
   CPPUNIT_TEST(LeaderRecordOfOlderVersionWithholdsNothing);
   CPPUNIT_TEST(RejectsAnUnreadableLeaderRecord);
+  CPPUNIT_TEST(MembersRoundTrip);
+  CPPUNIT_TEST(RejectsUnreadableMembers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -41,6 +43,23 @@
     CPPUNIT_ASSERT(!DecodeLeader("{"));
     CPPUNIT_ASSERT(!DecodeLeader(R"({"holder":1})"));
   }
+
+  void MembersRoundTrip() {
+    model::DatabaseEndpoint endpoint;
+    endpoint.id = "p";
+    endpoint.service = "s";
+    endpoint.address = "127.0.0.1:1";
+    endpoint.data_centre = "north";
+    CPPUNIT_ASSERT(DecodeMembers("s", EncodeMembers({endpoint})) ==
+                   std::vector{endpoint});
+    CPPUNIT_ASSERT(DecodeMembers("s", EncodeMembers({}))->empty());
+  }
+
+  void RejectsUnreadableMembers() {
+    CPPUNIT_ASSERT(!DecodeMembers("s", "["));
+    CPPUNIT_ASSERT(!DecodeMembers("s", R"([["p","127.0.0.1:1"]])"));
+    CPPUNIT_ASSERT(!DecodeMembers("s", R"(["p"])"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetRowsTest);
--- a/tests/proxy/partition_test.cpp
+++ b/tests/proxy/partition_test.cpp
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(ReplicaThatReturnsEndsTheWait);
   CPPUNIT_TEST(ReplicaThatLeftAsAnnouncedIsNotWaitedFor);
   CPPUNIT_TEST(ReplicaLostTogetherWithThePrimaryIsWaitedForAnHour);
+  CPPUNIT_TEST(LeaderThatStartsLaterKnowsTheMembers);
+  CPPUNIT_TEST(MembersThatLeftAreForgotten);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -73,6 +75,32 @@
     CPPUNIT_ASSERT(this->promotion_calls.empty());
   }
 
+  // Guards against lost commits: the leader's process restarts when the
+  // registrations behind the cut have expired.
+  void LeaderThatStartsLaterKnowsTheMembers() {
+    this->StartService();
+    this->Cut({"p", "q"});
+    this->Run(milliseconds(5000));
+    this->StartProcess();
+    this->BecomeLeader();
+    this->Run(milliseconds(15000));
+    CPPUNIT_ASSERT(!this->context->endpoints.contains("q"));
+    CPPUNIT_ASSERT(this->promotion_calls.empty());
+  }
+
+  // Guards against a later leader that waits for endpoints which have left.
+  void MembersThatLeftAreForgotten() {
+    this->StartService();
+    this->Cut({"q"});
+    this->Run(milliseconds(6000));
+    this->StartProcess();
+    this->BecomeLeader();
+    this->databases["p"]->SetSilent(true);
+    this->Run(milliseconds(7000));
+    CPPUNIT_ASSERT(!this->promotion_calls.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("r"), this->promotion_calls.front());
+  }
+
  private:
   void StartService() {
     this->store->Put(std::string(kFleetTable), "primary/s",
--- a/tests/support/failover_manager_fixture.h
+++ b/tests/support/failover_manager_fixture.h
@@ -89,6 +89,7 @@
     this->link.reset();
     this->pool.reset();
     this->context->endpoints.clear();
+    this->context->unregistered_endpoints.clear();
     this->context->primaries = routing::PrimaryTable();
     this->pool = std::make_unique<proxy::ServicePool>(*this->context, "s");
     this->link = std::make_unique<proxy::StoreLink>(
