Date a position by the read lease under which it was asked for

Cause: a first statement of a transaction that was refused with BUSY is sent again on its connection. The reply's position was taken to cover all commits up to the second attempt if the VM had a read lease at the BEGIN; after a suspension of the VM the endpoint may have been replaced in between.

Ruled out: a lease that lasts too long, a replica that answers too early.

Change: the job keeps the instant at which the lease was held, and the sample counts from there. A statement is not sent again after its deadline.

--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -642,9 +642,7 @@
     this->Retry(job, now + kRetryPause);
     return;
   }
-  job->had_read_lease =
-      this->selector.IsPrimary(job->endpoint_id) &&
-      this->context.primaries.HasReadLease(this->service, now);
+  job->read_lease_held_at = this->ReadLeaseHeldAt(job->endpoint_id, now);
   job->attempt_started = now;
   ++job->attempts;
   job->connection->Send(
@@ -720,9 +718,7 @@
   if (!job->opens_transaction) {
     ++job->attempts;
     job->attempt_started = now;
-    job->had_read_lease =
-        this->selector.IsPrimary(job->endpoint_id) &&
-        this->context.primaries.HasReadLease(this->service, now);
+    job->read_lease_held_at = this->ReadLeaseHeldAt(job->endpoint_id, now);
   }
   job->connection->Send(encoded.bytes, encoded.replies,
                         [this, job](const std::optional<EndpointReply>& reply) {
@@ -730,6 +726,13 @@
                         });
 }
 
+std::optional<Instant> ServicePool::ReadLeaseHeldAt(
+    const std::string& endpoint_id, Instant now) const {
+  const bool is_held = this->selector.IsPrimary(endpoint_id) &&
+                       this->context.primaries.HasReadLease(this->service, now);
+  return is_held ? std::optional(now) : std::nullopt;
+}
+
 void ServicePool::RecordReply(const StatementJob& job,
                               const EndpointReply& reply) {
   PoolEndpoint* endpoint = this->Find(job.endpoint_id);
@@ -763,8 +766,8 @@
     ++endpoint->load.attempts;
     endpoint->load.loss_ms += lost_ms;
   }
-  if (reply.position && job.had_read_lease) {
-    this->samples.Add(*reply.position, job.attempt_started);
+  if (reply.position && job.read_lease_held_at) {
+    this->samples.Add(*reply.position, *job.read_lease_held_at);
   }
   this->RecordPosition(job, reply);
 }
@@ -1028,6 +1031,13 @@
     this->OnReplyLost(job);
     return;
   }
+  if (now >= job->deadline) {
+    // This VM did not run at the time of the next attempt.
+    this->Discard(std::exchange(job->connection, nullptr));
+    this->Fail(job, job->is_pinned ? ErrorCode::kAborted : ErrorCode::kBusy,
+               "the endpoint refused it until its deadline");
+    return;
+  }
   if (const PoolEndpoint* endpoint = this->Find(job->endpoint_id)) {
     StartAttempt(*job, endpoint->response_ms, now);
   }
--- a/programs/laburnumkeel-proxy/service_pool.h
+++ b/programs/laburnumkeel-proxy/service_pool.h
@@ -188,6 +188,9 @@
   // True when the statement commits and may have run.
   static bool MayHaveCommitted(const StatementJob& job);
   void OnRefused(const JobPointer& job, const statements::EndpointReply& reply);
+  // `now` when this VM has a read lease on the endpoint; empty otherwise.
+  std::optional<kernel::Instant> ReadLeaseHeldAt(const std::string& endpoint_id,
+                                                 kernel::Instant now) const;
   void RecordReply(const StatementJob& job,
                    const statements::EndpointReply& reply);
   // Notes the primary's log position, and what a successful commit says of it.
--- a/programs/laburnumkeel-proxy/statement_job.h
+++ b/programs/laburnumkeel-proxy/statement_job.h
@@ -81,8 +81,9 @@
   bool is_sent = false;
   // Newest known position of the primary's log when the statement was sent.
   std::optional<model::LogPosition> position_before;
-  // This VM had a read lease on the endpoint when the statement was sent.
-  bool had_read_lease = false;
+  // When this VM last had a read lease on the endpoint before it sent the
+  // statement or the BEGIN before it; empty without one.
+  std::optional<kernel::Instant> read_lease_held_at;
   // The statement continues a transaction on `connection`.
   bool is_pinned = false;
   // When `endpoint_id` was chosen.
--- a/tests/proxy/service_pool_test.cpp
+++ b/tests/proxy/service_pool_test.cpp
@@ -39,6 +39,8 @@
   CPPUNIT_TEST(AllowedRegionsAreRespected);
   CPPUNIT_TEST(SuccessfulWriteIsACommittedPosition);
   CPPUNIT_TEST(CommitAtAFormerPrimaryIsUnknown);
+  CPPUNIT_TEST(SampleOfAStatementThatIsSentAgainIsAsOldAsItsReadLease);
+  CPPUNIT_TEST(StatementIsNotSentAgainAfterItsDeadline);
   CPPUNIT_TEST(OnlyCommitsOfThePublishedTermCount);
   CPPUNIT_TEST_SUITE_END();
 
@@ -313,6 +315,39 @@
     CPPUNIT_ASSERT_EQUAL(1, this->primary->Count("WRITE"));
   }
 
+  // Load pattern: the primary is replaced while this VM is suspended between
+  // two attempts. Guards against stale reads: the former primary's position
+  // counted as one that covers all commits up to the second attempt.
+  void SampleOfAStatementThatIsSentAgainIsAsOldAsItsReadLease() {
+    this->RenewReadLease();
+    const kernel::Instant begun = this->context->clock.Now();
+    this->RefuseAsBusy("READ 1", 1);
+    const JobPointer job = this->FirstOfTransaction();
+    job->deadline = job->arrived + std::chrono::seconds(5);
+    this->Submit(job);
+    this->Poll();
+    CPPUNIT_ASSERT_EQUAL(1, this->primary->Count("READ 1"));
+    this->context->clock.Advance(routing::PrimaryTable::kReadLeaseLifetime);
+    this->pool->Tick(this->context->clock.Now());
+    this->RunUntilFinished(job);
+    CPPUNIT_ASSERT_EQUAL(2, this->primary->Count("READ 1"));
+    CPPUNIT_ASSERT(this->pool->NewestSample()->covered_until <= begun);
+  }
+
+  // Guards against work for a client that has given up, and against a write
+  // that runs late, after a suspension.
+  void StatementIsNotSentAgainAfterItsDeadline() {
+    this->RefuseAsBusy("WRITE 1", 1);
+    const JobPointer job = this->Write();
+    this->Submit(job);
+    this->Poll();
+    CPPUNIT_ASSERT_EQUAL(1, this->primary->Count("WRITE 1"));
+    this->context->clock.Advance(std::chrono::seconds(2));
+    this->pool->Tick(this->context->clock.Now());
+    CPPUNIT_ASSERT(this->RunUntilFinished(job).error == ErrorCode::kBusy);
+    CPPUNIT_ASSERT_EQUAL(1, this->primary->Count("WRITE 1"));
+  }
+
   // Guards against a wait for commits that a promotion has cut back.
   void OnlyCommitsOfThePublishedTermCount() {
     this->pool->ObserveCommitted({1, 9});
