Ignore replies to a question of an earlier term of the leader lease

By reading: a VM that loses the leader lease and acquires it again within 0.7 s could take a reply to an earlier question for the whole answer, and publish a primary without comparing its log. Also: the times of silence of endpoints that are gone are dropped.

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -195,7 +195,10 @@
     return;
   }
   ServiceWatch& watch = found->second;
-  watch.claims.pending.erase(endpoint_id);
+  if (watch.claims.pending.erase(endpoint_id) == 0) {
+    // The reply is to a question of before this VM lost the leader lease.
+    return;
+  }
   const auto state =
       reply ? platform_adapter::DecodeEndpointState(reply->rows) : std::nullopt;
   if (state) {
@@ -634,6 +637,10 @@
     watch.silent_since.erase(endpoint_id);
     return;
   }
+  std::erase_if(watch.silent_since, [this](const auto& entry) {
+    return !this->context.endpoints.contains(entry.first) &&
+           !this->context.unregistered_endpoints.contains(entry.first);
+  });
   watch.silent_since.try_emplace(endpoint_id, this->context.clock.Now());
 }
 
