Tell the VMs that a primary is lost before another one is promoted

Cause: what the replicas last said counts until the promotion takes effect, and VMs that reach the former primary passed its success on.

Change: once all replicas are paused, which leaves nobody to acknowledge commits, the record of the primary says that it is lost. VMs that know it answer commits there as unknown. The promotion follows 0.6 s later at the earliest, well within the read leases.

Tests: CommitAtALostPrimaryIsUnknown, LossIsPublishedBeforeThePromotion; LossIsNotPublishedWhileAReplicaReceives guards against withholding the commits of a primary that is only out of the leader's reach.

--- a/programs/laburnumkeel-proxy/events.h
+++ b/programs/laburnumkeel-proxy/events.h
@@ -136,7 +136,8 @@
 inline constexpr EventDefinition kCommitUnconfirmed{
     6554, Severity::kWarning, "commit_unconfirmed",
     "an endpoint reports a commit, and another one has been published as the "
-    "primary meanwhile; the client is told that the outcome is unknown"};
+    "primary meanwhile, or may be promoted at any moment; the client is told "
+    "that the outcome is unknown"};
 inline constexpr EventDefinition kStatementMoved{
     6538, Severity::kInformation, "statement_moved",
     "the endpoint chosen for a statement may no longer receive it; another one "
--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -53,6 +53,8 @@
 // Log entries that the former primary had sent when it stepped down arrive
 // within this time; covers round trips between regions.
 constexpr milliseconds kCatchUpTime{300};
+// VMs report to the leader, and get new records of primaries, every 500 ms.
+constexpr milliseconds kRecordDelivery{600};
 // Added to the lifetime of read leases to allow for clock drift.
 constexpr milliseconds kReadLeaseMargin{100};
 // The platform carries out a promotion some hundred milliseconds after the
@@ -842,6 +844,25 @@
       });
 }
 
+void FailoverManager::PublishLoss(const std::string& service,
+                                  ServiceWatch& watch) {
+  watch.change->is_announcing = true;
+  routing::PrimaryRecord record = *this->context.primaries.Find(service);
+  record.is_changing = true;
+  record.is_lost = true;
+  this->WritePrimary(record, [this, service](bool is_done) {
+    ServiceWatch* published = this->FindChanging(service);
+    if (published == nullptr) {
+      return;
+    }
+    published->change->is_announcing = false;
+    if (is_done) {
+      published->change->loss_known_at =
+          this->context.clock.Now() + kRecordDelivery;
+    }
+  });
+}
+
 void FailoverManager::AdvanceChange(const std::string& service,
                                     ServiceWatch& watch, Instant now) {
   ServiceChange& change = *watch.change;
@@ -891,6 +912,17 @@
   }
   view.is_promotion_called = !change.promotion_target.empty();
   this->UpdateProofs(service, watch, view, now);
+  const bool has_replica =
+      std::any_of(view.members.begin(), view.members.end(),
+                  [&](const auto& member) { return member.id != view.former; });
+  if (change.all_paused_since && has_replica &&
+      !change.members[view.former].has_answered) {
+    if (!change.loss_known_at) {
+      this->PublishLoss(service, watch);
+      return;
+    }
+    view.read_leases_expired &= now >= *change.loss_known_at;
+  }
   const ChangeStep step = promotion::NextStep(view);
   const bool touches_replica = step.action == ChangeAction::kPause ||
                                step.action == ChangeAction::kResume;
--- a/programs/laburnumkeel-proxy/failover_manager.h
+++ b/programs/laburnumkeel-proxy/failover_manager.h
@@ -61,6 +61,9 @@
                    bool is_planned, const std::string& reason,
                    kernel::Instant now);
   void Announce(const std::string& service, ServiceWatch& watch);
+  // Tells the VMs that the former primary is lost, so that they pass on no more
+  // of its commits.
+  void PublishLoss(const std::string& service, ServiceWatch& watch);
   void AdvanceChange(const std::string& service, ServiceWatch& watch,
                      kernel::Instant now);
   // Decides whether a cancellable change is confirmed or cancelled. Returns
--- a/programs/laburnumkeel-proxy/fleet_rows.cpp
+++ b/programs/laburnumkeel-proxy/fleet_rows.cpp
@@ -83,7 +83,8 @@
   return json({{"endpoint", record.endpoint_id},
                {"term", record.term},
                {"changing", record.is_changing},
-               {"store_era", record.store_era}})
+               {"store_era", record.store_era},
+               {"lost", record.is_lost}})
       .dump();
 }
 
@@ -92,13 +93,13 @@
                                                     std::string_view value) {
   try {
     const json document = json::parse(value);
-    return routing::PrimaryRecord{
-        std::string(service),
-        document.at("endpoint").get<std::string>(),
-        document.at("term").get<model::Term>(),
-        document.at("changing").get<bool>(),
-        version,
-        document.value("store_era", std::uint64_t{0})};
+    return routing::PrimaryRecord{std::string(service),
+                                  document.at("endpoint").get<std::string>(),
+                                  document.at("term").get<model::Term>(),
+                                  document.at("changing").get<bool>(),
+                                  version,
+                                  document.value("store_era", std::uint64_t{0}),
+                                  document.value("lost", false)};
   } catch (const json::exception&) {
     return std::nullopt;
   }
--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -861,7 +861,8 @@
     return;
   }
   const bool is_primary = this->selector.IsPrimary(job->endpoint_id);
-  if (job->commits_write && !is_primary) {
+  if (job->commits_write &&
+      (!is_primary || this->context.primaries.Find(this->service)->is_lost)) {
     this->OnUnconfirmedCommit(job);
     return;
   }
--- a/programs/laburnumkeel-proxy/service_pool.h
+++ b/programs/laburnumkeel-proxy/service_pool.h
@@ -182,8 +182,8 @@
   // was sent and may have run.
   void CountRun(const StatementJob& job) const;
   void OnReplyLost(const JobPointer& job);
-  // Answers a commit whose endpoint is not the published primary any more: the
-  // new primary may lack it.
+  // Answers a commit whose endpoint is not the published primary any more, or
+  // is about to be replaced as lost: the new primary may lack it.
   void OnUnconfirmedCommit(const JobPointer& job);
   // True when the statement commits and may have run.
   static bool MayHaveCommitted(const StatementJob& job);
--- a/programs/laburnumkeel-proxy/service_watch.h
+++ b/programs/laburnumkeel-proxy/service_watch.h
@@ -32,6 +32,9 @@
   // The platform takes some time to carry out an accepted call.
   kernel::Instant promotion_retry_at;
   std::map<std::string, promotion::ChangeMember> members;
+  // When the VMs that are in touch with the leader know that the former primary
+  // is lost; empty until that is written to the store.
+  std::optional<kernel::Instant> loss_known_at;
   // Since when all known replicas are paused; empty while one is not.
   std::optional<kernel::Instant> all_paused_since;
   // When the former primary first responded as a replica.
--- a/src/laburnumkeel/peer/fleet_message.cpp
+++ b/src/laburnumkeel/peer/fleet_message.cpp
@@ -42,13 +42,16 @@
   wire.term = static_cast<std::int64_t>(record.term);
   wire.changing = record.is_changing;
   wire.version = static_cast<std::int64_t>(record.version);
+  wire.lost = record.is_lost;
   return wire;
 }
 
 routing::PrimaryRecord FromWire(const generated::WirePrimary& wire) {
-  return {wire.database_service, wire.endpoint,
-          static_cast<model::Term>(wire.term), wire.changing,
-          static_cast<std::uint64_t>(wire.version)};
+  routing::PrimaryRecord record{
+      wire.database_service, wire.endpoint, static_cast<model::Term>(wire.term),
+      wire.changing, static_cast<std::uint64_t>(wire.version)};
+  record.is_lost = wire.lost;
+  return record;
 }
 
 std::vector<generated::WireDelegateVm> ToWire(
--- a/src/laburnumkeel/peer/idl/fleet.thrift
+++ b/src/laburnumkeel/peer/idl/fleet.thrift
@@ -86,6 +86,7 @@
   3: i64 term,
   4: bool changing,
   5: i64 version,
+  6: bool lost,
 }
 
 // A position of a primary's log and how old the question was that it answers.
--- a/src/laburnumkeel/routing/primary_table.h
+++ b/src/laburnumkeel/routing/primary_table.h
@@ -25,6 +25,10 @@
   std::uint64_t version = 0;
   // Era of the store in which the record was published.
   std::uint64_t store_era = 0;
+  // The endpoint is out of the leader's reach, all other endpoints are paused,
+  // and one of them may be promoted at any moment. What the endpoint commits
+  // from now on may be missing from the next primary's log.
+  bool is_lost = false;
 
   // True when the store was restored since: newer records may be lost.
   bool IsRestored() const {
--- a/tests/proxy/partition_test.cpp
+++ b/tests/proxy/partition_test.cpp
@@ -18,6 +18,8 @@
   CPPUNIT_TEST(ReplicaLostTogetherWithThePrimaryIsWaitedForAnHour);
   CPPUNIT_TEST(LeaderThatStartsLaterKnowsTheMembers);
   CPPUNIT_TEST(MembersThatLeftAreForgotten);
+  CPPUNIT_TEST(LossIsPublishedBeforeThePromotion);
+  CPPUNIT_TEST(LossIsNotPublishedWhileAReplicaReceives);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -101,6 +103,38 @@
     CPPUNIT_ASSERT_EQUAL(std::string("r"), this->promotion_calls.front());
   }
 
+  // Guards against VMs that pass on commits of the former primary, which it
+  // makes with a replica that restarts or joins while the promotion is under
+  // way.
+  void LossIsPublishedBeforeThePromotion() {
+    this->StartService();
+    this->databases["p"]->SetSilent(true);
+    milliseconds lost_for{0};
+    for (int step = 0; step < 60 && this->promotion_calls.empty(); ++step) {
+      this->Run(milliseconds(100));
+      lost_for += milliseconds(this->PublishedRecord()->is_lost ? 100 : 0);
+    }
+    CPPUNIT_ASSERT(!this->promotion_calls.empty());
+    CPPUNIT_ASSERT(lost_for >= milliseconds(600));
+    this->members["q"].is_primary = true;
+    this->members["q"].term = 2;
+    this->Run(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(std::string("q"), this->PublishedPrimary());
+    CPPUNIT_ASSERT(!this->PublishedRecord()->is_lost);
+  }
+
+  // Guards against commits that are withheld although the primary is only out
+  // of the leader's reach and nothing has been paused.
+  void LossIsNotPublishedWhileAReplicaReceives() {
+    this->StartService();
+    this->databases["p"]->SetSilent(true);
+    this->databases["q"]->SetSilent(true);
+    for (int step = 0; step < 60; ++step) {
+      this->Run(milliseconds(100));
+      CPPUNIT_ASSERT(!this->PublishedRecord()->is_lost);
+    }
+  }
+
  private:
   void StartService() {
     this->store->Put(std::string(kFleetTable), "primary/s",
--- a/tests/proxy/service_pool_test.cpp
+++ b/tests/proxy/service_pool_test.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(AllowedRegionsAreRespected);
   CPPUNIT_TEST(SuccessfulWriteIsACommittedPosition);
   CPPUNIT_TEST(CommitAtAFormerPrimaryIsUnknown);
+  CPPUNIT_TEST(CommitAtALostPrimaryIsUnknown);
   CPPUNIT_TEST(SampleOfAStatementThatIsSentAgainIsAsOldAsItsReadLease);
   CPPUNIT_TEST(StatementIsNotSentAgainAfterItsDeadline);
   CPPUNIT_TEST(OnlyCommitsOfThePublishedTermCount);
@@ -315,6 +316,21 @@
     CPPUNIT_ASSERT_EQUAL(1, this->primary->Count("WRITE"));
   }
 
+  // Guards against passing on the success of a write that the primary commits
+  // while another endpoint is about to be promoted.
+  void CommitAtALostPrimaryIsUnknown() {
+    this->primary->SetScript([this](std::string_view line) {
+      routing::PrimaryRecord record{"s", "p", 1, true, 2};
+      record.is_lost = true;
+      this->context->primaries.Adopt(record);
+      return this->primary->Succeed(line);
+    });
+    const JobPointer write = this->Write();
+    write->commits_write = true;
+    const JobResult result = this->Run(write);
+    CPPUNIT_ASSERT(!result.reply && result.error == ErrorCode::kUnknown);
+  }
+
   // Load pattern: the primary is replaced while this VM is suspended between
   // two attempts. Guards against stale reads: the former primary's position
   // counted as one that covers all commits up to the second attempt.
