Take only an answered query as evidence that a primary was in reach

Cause: the VM that led was stopped for 4 s behind a cut. The primary, which drops a connection whose other end is dark for 3 s, closed one that was being opened; this counts as a contact, since a full endpoint closes connections too. The replica on the primary's side, silent for long, was then taken for one that a primary in reach had lost, and the endpoint alone with the leader was promoted.

Change: the evidence uses the time at which the newest answered statement was sent. That also excludes a reply that waited while the VM was suspended.

ClosedConnectionIsNoSignOfThePrimary guards the case.

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -505,7 +505,7 @@
   }
   if (const auto* record = this->context.primaries.Find(service)) {
     evidence.primary_contact =
-        this->find_pool(service).LastContact(record->endpoint_id);
+        this->find_pool(service).LastAnswered(record->endpoint_id);
   }
   return evidence;
 }
--- a/programs/laburnumkeel-proxy/pool_endpoint.h
+++ b/programs/laburnumkeel-proxy/pool_endpoint.h
@@ -40,6 +40,8 @@
   int outstanding = 0;
   int failures = 0;
   kernel::Instant last_contact;
+  // When the newest statement that it answered was sent.
+  kernel::Instant last_answered;
   kernel::Instant suspended_until;
   kernel::Instant connections_full_until;
   // When a statement that needs a new connection can expect to have it; in the
--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -352,6 +352,12 @@
                                         : found->second.last_contact;
 }
 
+Instant ServicePool::LastAnswered(const std::string& endpoint_id) const {
+  const auto found = this->endpoints.find(endpoint_id);
+  return found == this->endpoints.end() ? Instant()
+                                        : found->second.last_answered;
+}
+
 double ServicePool::IdleConnectionLimit() const {
   // Idle connections are worth keeping: opening one occupies a slot of the
   // endpoint for as long as half a statement.
@@ -744,6 +750,8 @@
       std::chrono::duration<double, std::milli>(now - job.attempt_started)
           .count();
   endpoint->last_contact = now;
+  endpoint->last_answered =
+      std::max(endpoint->last_answered, job.attempt_started);
   if (reply.signature) {
     // A refusal takes no time at the endpoint. Counted as a response, it would
     // make the endpoint that refuses most look like the fastest.
--- a/programs/laburnumkeel-proxy/service_pool.h
+++ b/programs/laburnumkeel-proxy/service_pool.h
@@ -107,6 +107,12 @@
   // Time of the endpoint's last reply, including refusals.
   kernel::Instant LastContact(const std::string& endpoint_id) const;
 
+  // When the newest statement was sent that the endpoint has answered. Unlike a
+  // contact, which may be a connection that something on the path closed, or a
+  // reply that waited while this VM was suspended, it shows that the endpoint
+  // was in reach at that time.
+  kernel::Instant LastAnswered(const std::string& endpoint_id) const;
+
   // Connections to an endpoint that this VM holds and that its waiting
   // statements need.
   routing::ConnectionDemand Demand(const std::string& endpoint_id) const;
--- a/src/laburnumkeel/promotion/absence_evidence.h
+++ b/src/laburnumkeel/promotion/absence_evidence.h
@@ -23,7 +23,7 @@
   // When the first of its unanswered queries timed out; empty when the last one
   // was answered.
   std::optional<kernel::Instant> silent_since{};
-  // When the primary last responded to this VM.
+  // When this VM sent the newest query that the primary has answered.
   kernel::Instant primary_contact{};
 
   // True when the endpoint left as announced, at the latest `drain_bound` after
--- a/tests/proxy/partition_test.cpp
+++ b/tests/proxy/partition_test.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(ReplicaLostTogetherWithThePrimaryIsWaitedForAnHour);
   CPPUNIT_TEST(LeaderThatStartsLaterKnowsTheMembers);
   CPPUNIT_TEST(MembersThatLeftAreForgotten);
+  CPPUNIT_TEST(ClosedConnectionIsNoSignOfThePrimary);
   CPPUNIT_TEST(LossIsPublishedBeforeThePromotion);
   CPPUNIT_TEST(LossIsNotPublishedWhileAReplicaReceives);
   CPPUNIT_TEST_SUITE_END();
@@ -103,6 +104,18 @@
     CPPUNIT_ASSERT_EQUAL(std::string("r"), this->promotion_calls.front());
   }
 
+  // Guards against taking a replica behind the cut for one that the primary has
+  // lost as well, because a connection to the primary is closed on the way.
+  void ClosedConnectionIsNoSignOfThePrimary() {
+    this->StartService();
+    this->Cut({"p", "q"});
+    this->Run(milliseconds(8000));
+    this->databases["p"]->RefuseStartups("OVERLOAD full");
+    this->databases["p"]->SetSilent(false);
+    this->Run(milliseconds(8000));
+    CPPUNIT_ASSERT(this->promotion_calls.empty());
+  }
+
   // Guards against VMs that pass on commits of the former primary, which it
   // makes with a replica that restarts or joins while the promotion is under
   // way.
