Resume a replica that is shown to reach the new primary

Change: an endpoint in the leader's data centre reaches what the leader reaches, as far as cuts follow data centres. If the replica or the new primary is there, the replica is resumed at once.

ReplicaThatReachesTheNewPrimaryIsResumedAtOnce fails before.

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -832,11 +832,27 @@
   }
 }
 
+bool FailoverManager::DoReachEachOther(const std::string& first,
+                                       const std::string& second) const {
+  const auto is_near = [this](const std::string& id) {
+    const auto found = this->context.endpoints.find(id);
+    return found != this->context.endpoints.end() &&
+           found->second.data_centre == this->context.settings.data_centre;
+  };
+  return is_near(first) || is_near(second);
+}
+
 bool FailoverManager::MayResume(const std::string& service,
                                 const ServiceWatch& watch,
                                 const std::string& replica) const {
   const std::string& primary =
       this->context.primaries.Find(service)->endpoint_id;
+  const bool is_primary_in_reach =
+      this->context.clock.Now() <
+      this->find_pool(service).LastContact(primary) + kFailureTimeout;
+  if (is_primary_in_reach && this->DoReachEachOther(replica, primary)) {
+    return true;
+  }
   const std::vector<std::string> members = this->Members(service, watch);
   return std::all_of(
       members.begin(), members.end(), [&](const std::string& id) {
@@ -1101,7 +1117,7 @@
   ServiceChange& change = *watch.change;
   change.is_publishing = true;
   // A former primary goes on until it steps down, and a paused replica that
-  // cannot reach the new one would receive from it again.
+  // does not reach the new one would receive from it again.
   bool may_former_go_on = false;
   std::vector<std::string> paused;
   for (const std::string& id : this->Members(service, watch)) {
@@ -1117,7 +1133,8 @@
     }
   }
   for (const std::string& id : paused) {
-    if (!may_former_go_on || change.members[id].term >= term) {
+    if (!may_former_go_on || change.members[id].term >= term ||
+        this->DoReachEachOther(id, endpoint_id)) {
       this->GiveOrder(service, id, platform_adapter::ResumeText());
     }
   }
--- a/programs/laburnumkeel-proxy/failover_manager.h
+++ b/programs/laburnumkeel-proxy/failover_manager.h
@@ -86,6 +86,11 @@
   void Reconcile(const std::string& service, ServiceWatch& watch,
                  const std::string& endpoint_id,
                  const platform_adapter::EndpointState& state);
+  // True when this VM's reach shows that two endpoints which it reaches reach
+  // each other: one of them is in its own data centre, and cuts follow data
+  // centres.
+  bool DoReachEachOther(const std::string& first,
+                        const std::string& second) const;
   // True when no endpoint but the published primary may send log entries to
   // this replica.
   bool MayResume(const std::string& service, const ServiceWatch& watch,
--- a/tests/proxy/replica_resume_test.cpp
+++ b/tests/proxy/replica_resume_test.cpp
@@ -13,6 +13,7 @@
 class ReplicaResumeTest : public testing::FailoverManagerFixture {
   CPPUNIT_TEST_SUITE(ReplicaResumeTest);
   CPPUNIT_TEST(ReplicaStaysPausedWhileTheFormerPrimaryMayGoOn);
+  CPPUNIT_TEST(ReplicaThatReachesTheNewPrimaryIsResumedAtOnce);
   CPPUNIT_TEST(ReplicaIsResumedWhenTheFormerPrimaryIsGone);
   CPPUNIT_TEST(ReplicaThatHasJoinedTheTermIsResumed);
   CPPUNIT_TEST(NextLeaderResumesAReplica);
@@ -20,6 +21,13 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void setUp() override {
+    FailoverManagerFixture::setUp();
+    // The leader is in neither endpoint's data centre, so that its own reach
+    // does not show whether they reach each other.
+    this->context->settings.data_centre = "other";
+  }
+
   // Guards against writes that the former primary, out of the leader's reach,
   // commits with the resumed replica (ONE, LOST).
   void ReplicaStaysPausedWhileTheFormerPrimaryMayGoOn() {
@@ -32,6 +40,18 @@
     CPPUNIT_ASSERT_EQUAL(0, this->members["r"].paused_term);
   }
 
+  // Guards against a new primary that has no replica as long as the former one
+  // is cut off.
+  void ReplicaThatReachesTheNewPrimaryIsResumedAtOnce() {
+    this->context->settings.data_centre = "dc";
+    this->StartService();
+    this->databases["p"]->SetSilent(true);
+    this->RunUntilPromoted();
+    this->Run(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(std::string("q"), this->PublishedPrimary());
+    CPPUNIT_ASSERT_EQUAL(0, this->members["r"].paused_term);
+  }
+
   // Guards against a new primary without a replica that confirms its commits.
   void ReplicaIsResumedWhenTheFormerPrimaryIsGone() {
     this->ReplacePrimary();
