Keep what is known to be committed across a promotion

Cause: the position up to which commits are known began at zero with each published primary. A replica that was cut off from the former primary, and had not received from the new one before that was lost too, was promoted with its old log.

Change: the record of a primary carries the position that was known when it was published, as far as its own log reaches. It counts like commits of its term, for later leaders as well.

CommitsFromBeforeTheLastPromotionCount fails before.

--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -258,15 +258,16 @@
             {"term", primary->term},
             {"reason", "another endpoint already is the primary"}});
   watch.is_publishing = true;
-  this->WritePrimary(
-      {service, primary->id, primary->term, false, 0}, [this, service](bool) {
-        const auto published = this->watches.find(service);
-        if (published != this->watches.end()) {
-          published->second.is_publishing = false;
-          published->second.replicas.clear();
-          published->second.last_response = this->context.clock.Now();
-        }
-      });
+  routing::PrimaryRecord claimed{service, primary->id, primary->term, false, 0};
+  claimed.committed = std::min(claims.committed, primary->received);
+  this->WritePrimary(claimed, [this, service](bool) {
+    const auto published = this->watches.find(service);
+    if (published != this->watches.end()) {
+      published->second.is_publishing = false;
+      published->second.replicas.clear();
+      published->second.last_response = this->context.clock.Now();
+    }
+  });
 }
 
 void FailoverManager::PublishAfterRestore(const routing::PrimaryRecord& record,
@@ -735,24 +736,24 @@
                                    const std::string& reason) {
   const routing::PrimaryRecord& record = *this->context.primaries.Find(service);
   watch.change->is_publishing = true;
-  this->WritePrimary(
-      {service, record.endpoint_id, record.term, false, 0},
-      [this, service, reason](bool is_done) {
-        ServiceWatch* cancelled = this->FindChanging(service);
-        if (cancelled == nullptr) {
-          return;
-        }
-        cancelled->change->is_publishing = false;
-        if (is_done) {
-          LogEvent(
-              kChangeEnded,
-              {{"service", service},
-               {"reason", reason},
-               {"waiting_for", this->UnansweredMembers(service, *cancelled)}});
-          cancelled->last_response = this->context.clock.Now();
-          cancelled->change.reset();
-        }
-      });
+  routing::PrimaryRecord restored = record;
+  restored.is_changing = false;
+  restored.is_lost = false;
+  this->WritePrimary(restored, [this, service, reason](bool is_done) {
+    ServiceWatch* cancelled = this->FindChanging(service);
+    if (cancelled == nullptr) {
+      return;
+    }
+    cancelled->change->is_publishing = false;
+    if (is_done) {
+      LogEvent(kChangeEnded,
+               {{"service", service},
+                {"reason", reason},
+                {"waiting_for", this->UnansweredMembers(service, *cancelled)}});
+      cancelled->last_response = this->context.clock.Now();
+      cancelled->change.reset();
+    }
+  });
 }
 
 void FailoverManager::QueryReplicas(const std::string& service,
@@ -1138,29 +1139,31 @@
       this->GiveOrder(service, id, platform_adapter::ResumeText());
     }
   }
-  this->WritePrimary(
-      {service, endpoint_id, term, false, 0},
-      [this, service, endpoint_id, term](bool is_done) {
-        ServiceWatch* published = this->FindChanging(service);
-        if (published == nullptr) {
-          return;
-        }
-        if (!is_done) {
-          published->change->is_publishing = false;
-          return;
-        }
-        LogEvent(kChangeEnded,
-                 {{"service", service},
-                  {"endpoint", endpoint_id},
-                  {"term", term},
-                  {"elapsed_ms",
-                   kernel::ToMilliseconds(this->context.clock.Now() -
-                                          published->change->started)}});
-        published->change.reset();
-        published->replicas.clear();
-        published->has_lost_primary_role = false;
-        published->last_response = this->context.clock.Now();
-      });
+  routing::PrimaryRecord published_record{service, endpoint_id, term, false, 0};
+  published_record.committed = std::min(this->find_pool(service).Committed(),
+                                        change.members[endpoint_id].received);
+  this->WritePrimary(published_record, [this, service, endpoint_id,
+                                        term](bool is_done) {
+    ServiceWatch* published = this->FindChanging(service);
+    if (published == nullptr) {
+      return;
+    }
+    if (!is_done) {
+      published->change->is_publishing = false;
+      return;
+    }
+    LogEvent(
+        kChangeEnded,
+        {{"service", service},
+         {"endpoint", endpoint_id},
+         {"term", term},
+         {"elapsed_ms", kernel::ToMilliseconds(this->context.clock.Now() -
+                                               published->change->started)}});
+    published->change.reset();
+    published->replicas.clear();
+    published->has_lost_primary_role = false;
+    published->last_response = this->context.clock.Now();
+  });
 }
 
 }  // namespace laburnumkeel::proxy
--- a/programs/laburnumkeel-proxy/fleet_rows.cpp
+++ b/programs/laburnumkeel-proxy/fleet_rows.cpp
@@ -84,7 +84,9 @@
                {"term", record.term},
                {"changing", record.is_changing},
                {"store_era", record.store_era},
-               {"lost", record.is_lost}})
+               {"lost", record.is_lost},
+               {"committed_term", record.committed.term},
+               {"committed_position", record.committed.position}})
       .dump();
 }
 
@@ -93,13 +95,16 @@
                                                     std::string_view value) {
   try {
     const json document = json::parse(value);
-    return routing::PrimaryRecord{std::string(service),
-                                  document.at("endpoint").get<std::string>(),
-                                  document.at("term").get<model::Term>(),
-                                  document.at("changing").get<bool>(),
-                                  version,
-                                  document.value("store_era", std::uint64_t{0}),
-                                  document.value("lost", false)};
+    return routing::PrimaryRecord{
+        std::string(service),
+        document.at("endpoint").get<std::string>(),
+        document.at("term").get<model::Term>(),
+        document.at("changing").get<bool>(),
+        version,
+        document.value("store_era", std::uint64_t{0}),
+        document.value("lost", false),
+        {document.value("committed_term", model::Term{0}),
+         document.value("committed_position", std::uint64_t{0})}};
   } catch (const json::exception&) {
     return std::nullopt;
   }
--- a/programs/laburnumkeel-proxy/service_pool.cpp
+++ b/programs/laburnumkeel-proxy/service_pool.cpp
@@ -847,8 +847,9 @@
 
 model::LogPosition ServicePool::Committed() const {
   const auto* record = this->context.primaries.Find(this->service);
-  return record == nullptr ? model::LogPosition()
-                           : this->committed.Find(record->term);
+  return record == nullptr
+             ? model::LogPosition()
+             : std::max(this->committed.Find(record->term), record->committed);
 }
 
 void ServicePool::OnReply(const JobPointer& job,
--- a/programs/laburnumkeel-proxy/service_pool.h
+++ b/programs/laburnumkeel-proxy/service_pool.h
@@ -79,8 +79,8 @@
 
   // Processes a log position up to which commits may have been acknowledged.
   void ObserveCommitted(const model::LogPosition& position);
-  // The highest such position since the present primary was published; zero
-  // when none is known.
+  // The highest such position that the log of the published primary reaches;
+  // zero when none is known.
   model::LogPosition Committed() const;
 
   // Sets the replication lag of an endpoint as measured at `as_of`.
--- a/src/laburnumkeel/peer/fleet_message.cpp
+++ b/src/laburnumkeel/peer/fleet_message.cpp
@@ -43,6 +43,9 @@
   wire.changing = record.is_changing;
   wire.version = static_cast<std::int64_t>(record.version);
   wire.lost = record.is_lost;
+  wire.committed_term = static_cast<std::int64_t>(record.committed.term);
+  wire.committed_position =
+      static_cast<std::int64_t>(record.committed.position);
   return wire;
 }
 
@@ -51,6 +54,8 @@
       wire.database_service, wire.endpoint, static_cast<model::Term>(wire.term),
       wire.changing, static_cast<std::uint64_t>(wire.version)};
   record.is_lost = wire.lost;
+  record.committed = {static_cast<model::Term>(wire.committed_term),
+                      static_cast<std::uint64_t>(wire.committed_position)};
   return record;
 }
 
--- a/src/laburnumkeel/peer/idl/fleet.thrift
+++ b/src/laburnumkeel/peer/idl/fleet.thrift
@@ -87,6 +87,8 @@
   4: bool changing,
   5: i64 version,
   6: bool lost,
+  7: i64 committed_term,
+  8: i64 committed_position,
 }
 
 // A position of a primary's log and how old the question was that it answers.
--- a/src/laburnumkeel/routing/primary_table.h
+++ b/src/laburnumkeel/routing/primary_table.h
@@ -29,6 +29,9 @@
   // and one of them may be promoted at any moment. What the endpoint commits
   // from now on may be missing from the next primary's log.
   bool is_lost = false;
+  // Commits up to here were known to be acknowledged when the endpoint became
+  // the primary. An endpoint that lacks one of them has not followed it yet.
+  model::LogPosition committed{};
 
   // True when the store was restored since: newer records may be lost.
   bool IsRestored() const {
--- a/tests/peer/fleet_message_test.cpp
+++ b/tests/peer/fleet_message_test.cpp
@@ -57,6 +57,7 @@
     response.primaries_version = 99;
     response.primaries = {{"s", "i-1", 4, true, 98}};
     response.primaries[0].is_lost = true;
+    response.primaries[0].committed = {3, 7};
     response.positions["s"] = {{4, 1200}, std::chrono::microseconds(1500)};
     response.accounts["x"] = {{1.5, 2.5}, 3, true};
     response.operator_rows = {50, std::chrono::microseconds(10)};
--- a/tests/proxy/lost_commit_test.cpp
+++ b/tests/proxy/lost_commit_test.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(CommitsThatClientsKnowAreWaitedFor);
   CPPUNIT_TEST(PrimaryThatMayHoldThemIsWaitedForWithoutEnd);
   CPPUNIT_TEST(PromotionByTheOperatorEndsTheWait);
+  CPPUNIT_TEST(CommitsFromBeforeTheLastPromotionCount);
   CPPUNIT_TEST(ServiceIsNotWithoutAPrimaryForEver);
   CPPUNIT_TEST_SUITE_END();
 
@@ -76,6 +77,35 @@
     CPPUNIT_ASSERT(!this->PublishedRecord()->is_changing);
   }
 
+  // A replica was cut off from the former primary and has not followed the new
+  // one either when that is lost. Guards against promoting its old log, also by
+  // a leader that starts later.
+  void CommitsFromBeforeTheLastPromotionCount() {
+    this->StartService();
+    this->members["p"].received = "1.9";
+    this->members["q"].received = "1.9";
+    this->Run(milliseconds(1000));
+    this->databases["p"]->SetSilent(true);
+    for (int step = 0; step < 60 && this->promotion_calls.empty(); ++step) {
+      this->Run(milliseconds(100));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("q"), this->promotion_calls.at(0));
+    this->members["q"].is_primary = true;
+    this->members["q"].term = 2;
+    this->store->Remove("servers", "p");
+    this->Run(milliseconds(7000));
+    CPPUNIT_ASSERT_EQUAL(std::string("q"), this->PublishedPrimary());
+    this->promotion_calls.clear();
+    this->databases["q"]->SetSilent(true);
+    this->Run(milliseconds(15000));
+    CPPUNIT_ASSERT(this->members["r"].paused_term > 0);
+    CPPUNIT_ASSERT(this->promotion_calls.empty());
+    this->StartProcess();
+    this->BecomeLeader();
+    this->Run(milliseconds(15000));
+    CPPUNIT_ASSERT(this->promotion_calls.empty());
+  }
+
   // Nobody returns with the commits: their holders left as announced. A change
   // of primary has to be over within 14 s.
   void ServiceIsNotWithoutAPrimaryForEver() {
