--- a/programs/laburnumkeel-proxy/events.h
+++ b/programs/laburnumkeel-proxy/events.h
@@ -96,8 +96,7 @@
 inline constexpr EventDefinition kChangeHeld{
     6539, Severity::kWarning, "change_held",
     "a change of primary cannot proceed: the endpoints that it waits for do "
-    "not "
-    "respond, and may hold or acknowledge commits out of reach"};
+    "not respond, and may hold or acknowledge commits out of reach"};
 inline constexpr EventDefinition kReplicaResumed{
     6555, Severity::kInformation, "replica_resumed",
     "a replica that a change of primary had paused is told to receive again"};
