--- a/tests/hostile/proxy_process.cpp
+++ b/tests/hostile/proxy_process.cpp
@@ -1,15 +1,18 @@
 #include "tests/hostile/proxy_process.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/connect.hpp>
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <cstdlib>
 #include <fstream>
+#include <functional>
+#include <iterator>
 #include <stdexcept>
+#include <thread>
 
 #include "laburnumkeel/transport/socket_address.h"
 #include "tests/support/free_port.h"
@@ -27,6 +30,8 @@
 constexpr milliseconds kAnswerPatience{5000};
 constexpr milliseconds kRetryPause{50};
 constexpr std::size_t kLargeRow = std::size_t{1} << 18;
+constexpr std::size_t kLogTail = 2000;
+constexpr std::size_t kOrdinarySize = 20;
 
 std::filesystem::path MakeFolder() {
   std::string folder =
@@ -113,17 +118,13 @@
           std::string(BINARY_FOLDER) + "/laburnumkeel-proxy",
           "--config=" + path},
       this->folder / "log");
-  this->thread = std::thread([this] {
-    const auto work = asio::make_work_guard(this->loop);
-    this->loop.run();
-  });
+  this->thread = std::make_unique<LoopThread>(this->loop);
   this->AwaitReadiness();
 }
 
 ProxyProcess::~ProxyProcess() {
   this->process.reset();
-  this->loop.stop();
-  this->thread.join();
+  this->thread.reset();
   std::error_code ignored;
   std::filesystem::remove_all(this->folder, ignored);
 }
@@ -182,10 +183,22 @@
   return answer == "COMPLETE sig\r\nREADY I 1.5\r\n";
 }
 
-void ProxyProcess::AwaitReadiness() const {
-  if (!this->ServesOneStatement()) {
-    throw std::runtime_error("the proxy does not serve clients");
+void ProxyProcess::AwaitReadiness() {
+  const auto end = steady_clock::now() + kPatience;
+  while (this->IsRunning() && steady_clock::now() < end) {
+    if (this->TryStatement(kOrdinarySize)) {
+      return;
+    }
+    std::this_thread::sleep_for(kRetryPause);
   }
+  throw std::runtime_error("the proxy does not serve clients; its log ends " +
+                           this->LogTail());
+}
+
+std::string ProxyProcess::LogTail() const {
+  std::ifstream log(this->folder / "log");
+  const std::string text{std::istreambuf_iterator<char>(log), {}};
+  return text.substr(text.size() - std::min(text.size(), kLogTail));
 }
 
 }  // namespace laburnumkeel::testing
--- a/tests/hostile/proxy_process.h
+++ b/tests/hostile/proxy_process.h
@@ -8,11 +8,11 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
-#include <thread>
 
 #include "standins/standin-fleet/child_process.h"
 #include "tests/support/fake_database.h"
 #include "tests/support/fake_store.h"
+#include "tests/support/loop_thread.h"
 
 namespace laburnumkeel::testing {
 
@@ -23,7 +23,8 @@
 // and everything else with success.
 class ProxyProcess {
  public:
-  // Settings that are added to the usual ones or replace them.
+  // `settings` are added to the usual ones or replace them. Throws when the
+  // program does not serve clients in time, with the end of its log.
   explicit ProxyProcess(const nlohmann::json& settings);
   ~ProxyProcess();
   ProxyProcess(const ProxyProcess&) = delete;
@@ -46,7 +47,9 @@
 
  private:
   bool TryStatement(std::size_t size) const;
-  void AwaitReadiness() const;
+  void AwaitReadiness();
+  // The end of what the program has logged.
+  std::string LogTail() const;
   std::string Answer(std::string_view line);
 
   const std::filesystem::path folder;
@@ -57,7 +60,7 @@
   std::unique_ptr<FakeStore> store;
   std::unique_ptr<FakeDatabase> database;
   std::unique_ptr<standin::ChildProcess> process;
-  std::thread thread;
+  std::unique_ptr<LoopThread> thread;
 };
 
 }  // namespace laburnumkeel::testing
--- a/tests/support/fixed_response_server.h
+++ b/tests/support/fixed_response_server.h
@@ -1,10 +1,6 @@
 #ifndef LABURNUMKEEL_TESTS_SUPPORT_FIXED_RESPONSE_SERVER_H_
 #define LABURNUMKEEL_TESTS_SUPPORT_FIXED_RESPONSE_SERVER_H_
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <mutex>
 #include <stdexcept>
 #include <string>
@@ -12,26 +8,10 @@
 #include <vector>
 
 #include "laburnumkeel/transport/http_server.h"
+#include "tests/support/free_port.h"
 
 namespace laburnumkeel::testing {
 
-// `IP:port` of a loopback port that was free at the time of the call.
-inline std::string FreeAddress() {
-  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t length = sizeof address;
-  const bool bound =
-      bind(socket, reinterpret_cast<sockaddr*>(&address), length) == 0 &&
-      getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length) == 0;
-  close(socket);
-  if (!bound) {
-    throw std::runtime_error("no free port");
-  }
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-}
-
 // HTTP server that sends the same response to every request and records the
 // requests.
 class FixedResponseServer {
