--- a/tests/soak/partitions.py
+++ b/tests/soak/partitions.py
@@ -30,6 +30,20 @@
 w.PROXY = os.environ.get("LABURNUMKEEL_PROXY", w.PROXY)
 FAULTS_S = 45.0
 SETTLE_S = 14.0
+draw_port = w.free_port
+drawn_ports = set()
+
+
+def unused_port(ip="127.0.0.1"):
+    """A free port that is given to no other program of this run."""
+    port = draw_port(ip)
+    while port in drawn_ports:
+        port = draw_port(ip)
+    drawn_ports.add(port)
+    return port
+
+
+w.free_port = unused_port
 
 
 class DatagramRelay:
