--- a/tests/proxy/lost_commit_test.cpp
+++ b/tests/proxy/lost_commit_test.cpp
@@ -120,13 +120,6 @@
   }
 
  private:
-  void StartService() {
-    this->store->Put(std::string(kFleetTable), "primary/s",
-                     {{"endpoint", "p"}, {"term", 1}, {"changing", false}});
-    this->BecomeLeader();
-    this->Run(milliseconds(3500));
-  }
-
   // The endpoint announces its departure, drains and leaves.
   void Leave(const std::string& id) {
     this->PutEndpoint(id, "draining");
--- a/tests/proxy/partition_test.cpp
+++ b/tests/proxy/partition_test.cpp
@@ -149,13 +149,6 @@
   }
 
  private:
-  void StartService() {
-    this->store->Put(std::string(kFleetTable), "primary/s",
-                     {{"endpoint", "p"}, {"term", 1}, {"changing", false}});
-    this->BecomeLeader();
-    this->Run(milliseconds(3500));
-  }
-
   // Their registrations have expired when the leader reads them next.
   void Cut(const std::vector<std::string>& ids) {
     for (const std::string& id : ids) {
--- a/tests/proxy/primary_claim_test.cpp
+++ b/tests/proxy/primary_claim_test.cpp
@@ -49,7 +49,7 @@
 
   // Guards against a slower return of a primary that restarts with its log.
   void SuccessorUnderAnotherIdIsPublishedAtOnce() {
-    this->StartService();
+    this->StartWithSuccessor();
     this->store->Remove("servers", "q");
     this->Run(milliseconds(2500));
     this->AddSuccessor("2.9");
@@ -67,7 +67,7 @@
 
   // Guards against lost commits of a primary that restarts without its log.
   void SuccessorWithoutItsLogIsNotPublished() {
-    this->StartService();
+    this->StartWithSuccessor();
     this->Lose("q");
     this->AddSuccessor("0.0");
     for (int step = 0; step < 100; ++step) {
@@ -117,18 +117,15 @@
     this->PutEndpoint("q");
   }
 
-  void StartService() {
+  void StartWithSuccessor() {
     this->SetSuccessor();
-    this->store->Put(std::string(kFleetTable), "primary/s",
-                     {{"endpoint", "q"}, {"term", 2}, {"changing", false}});
-    this->BecomeLeader();
-    this->Run(milliseconds(3500));
+    this->StartService("q", 2);
   }
 
   // The leader does not reach the former primary, which does not step down.
   void StartBehindACut() {
     this->databases["p"]->SetSilent(true);
-    this->StartService();
+    this->StartWithSuccessor();
     CPPUNIT_ASSERT(this->members["p"].is_primary);
   }
 
--- a/tests/proxy/replica_resume_test.cpp
+++ b/tests/proxy/replica_resume_test.cpp
@@ -93,13 +93,6 @@
   }
 
  private:
-  void StartService() {
-    this->store->Put(std::string(kFleetTable), "primary/s",
-                     {{"endpoint", "p"}, {"term", 1}, {"changing", false}});
-    this->BecomeLeader();
-    this->Run(milliseconds(3500));
-  }
-
   // The platform has carried out the promotion of `q`.
   void RunUntilPromoted() {
     for (int step = 0; step < 60 && this->promotion_calls.empty(); ++step) {
--- a/tests/proxy/unregistered_endpoint_test.cpp
+++ b/tests/proxy/unregistered_endpoint_test.cpp
@@ -111,13 +111,6 @@
   }
 
  private:
-  void StartService() {
-    this->store->Put(std::string(kFleetTable), "primary/s",
-                     {{"endpoint", "p"}, {"term", 1}, {"changing", false}});
-    this->BecomeLeader();
-    this->Run(milliseconds(3500));
-  }
-
   // Another endpoint starts at the address of `r`.
   void ReplaceReplica() {
     nlohmann::json entry =
--- a/tests/support/failover_manager_fixture.h
+++ b/tests/support/failover_manager_fixture.h
@@ -168,6 +168,15 @@
     CPPUNIT_ASSERT(this->leadership->IsLeader());
   }
 
+  // This VM leads, and has watched the service under its primary for a while.
+  void StartService(const std::string& primary = "p", int term = 1) {
+    this->store->Put(
+        std::string(proxy::kFleetTable), "primary/s",
+        {{"endpoint", primary}, {"term", term}, {"changing", false}});
+    this->BecomeLeader();
+    this->Run(milliseconds(3500));
+  }
+
   // Number of orders that all endpoints have received.
   int Orders() const {
     int orders = 0;
