--- a/programs/laburnumkeel-proxy/failover_manager.cpp
+++ b/programs/laburnumkeel-proxy/failover_manager.cpp
@@ -44,8 +44,8 @@
 constexpr milliseconds kMembersWritePeriod{1000};
 // Endpoints are asked again which of them is the primary after this time.
 constexpr milliseconds kClaimPeriod{1000};
-// The registration of an endpoint that does not run lapses well within this
-// time.
+// How long a registered endpoint that does not reply holds up the first
+// publication.
 constexpr milliseconds kFirstClaimWait{8000};
 // Endpoints that are neither registered nor respond take a connection attempt
 // for each query.
@@ -53,7 +53,8 @@
 // Log entries that the former primary had sent when it stepped down arrive
 // within this time; covers round trips between regions.
 constexpr milliseconds kCatchUpTime{300};
-// VMs report to the leader, and get new records of primaries, every 500 ms.
+// After this time the VMs in touch with the leader know a new record of a
+// primary.
 constexpr milliseconds kRecordDelivery{600};
 // Added to the lifetime of read leases to allow for clock drift.
 constexpr milliseconds kReadLeaseMargin{100};
--- a/programs/laburnumkeel-proxy/store_link.cpp
+++ b/programs/laburnumkeel-proxy/store_link.cpp
@@ -49,10 +49,10 @@
 // Live endpoints whose row expired during a store outage register again within
 // about 2 s of its end.
 constexpr milliseconds kExpiredEndpointGrace{3000};
-// Regions are expected to lose each other for an hour. An endpoint behind such
-// a cut may hold acknowledged commits all the while.
+// An endpoint behind a cut may hold acknowledged commits for as long as the cut
+// lasts.
 constexpr std::chrono::hours kUnregisteredRetention{24};
-// Well above the time for which a draining endpoint still runs.
+// An endpoint that announced its departure may still run for a while.
 constexpr std::chrono::minutes kDepartedRetention{10};
 // The row of a live endpoint can expire, unseen by this VM, in a longer time
 // without a reading of the table: two heartbeat intervals.
